Set down the design, the modules and the core types

The kernel starts parts that register themselves. Control decisions are state machines behind machine.Machine, so that tests drive many nodes in virtual time.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+MODULES := mesh node ctl objects stub load bench
+PROGRAMS := node ctl objects stub load bench
+export GOTOOLCHAIN := local
+
+.PHONY: demo test bench build format lint fuzz
+
+build:
+	@mkdir -p bin
+	@for p in $(PROGRAMS); do go build -o bin/wisteriaspoke-$$p ./$$p || exit 1; done
+	@mv bin/wisteriaspoke-ctl bin/wisteriaspoke
+
+demo: build
+	@scripts/demo
+
+format:
+	@bad=$$(gofmt -l $(MODULES)); if [ -n "$$bad" ]; then echo "gofmt would change:"; echo "$$bad"; exit 1; fi
+
+lint: format
+	@for m in $(MODULES); do go vet ./$$m/... || exit 1; done
+	@for m in $(MODULES); do go tool staticcheck ./$$m/... || exit 1; done
+
+test: lint
+	@scripts/test
+
+bench: build
+	@bin/wisteriaspoke-bench
+
+fuzz:
+	@scripts/fuzz
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,4 @@
+// Command bench is a placeholder until its parts land.
+package main
+
+func main() {}
--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,4 @@
+// Command load is a placeholder until its parts land.
+package main
+
+func main() {}
--- /dev/null
+++ b/mesh/effect/doc.go
@@ -0,0 +1,2 @@
+// Package effect holds what a control machine wants to happen.
+package effect
--- /dev/null
+++ b/mesh/endpoint/doc.go
@@ -0,0 +1,2 @@
+// Package endpoint holds one upstream as its node announced it.
+package endpoint
--- /dev/null
+++ b/mesh/event/doc.go
@@ -0,0 +1,2 @@
+// Package event holds what can happen to a control machine.
+package event
--- /dev/null
+++ b/mesh/fault/doc.go
@@ -0,0 +1,2 @@
+// Package fault defines the typed error that all packages return to operators and callers.
+package fault
--- /dev/null
+++ b/mesh/kernel/kernel.go
@@ -0,0 +1,160 @@
+package kernel
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"reflect"
+	"time"
+
+	"wisteriaspoke.example/mesh/fault"
+)
+
+// Part is one plug-in; its exported fields are its settings, filled from flags and environment before Start.
+type Part interface {
+	// Start begins the part's work. The returned channel reports the part's end exactly once, after ctx is
+	// cancelled or on a failure; nil means that the part has no goroutine of its own.
+	Start(ctx context.Context, k *Kernel) (<-chan error, error)
+}
+
+// checker is a part with settings to check; all problems are reported together before any part starts.
+type checker interface {
+	Check() error
+}
+
+// drainer is a part that takes time to stop gracefully; drained in descending priority before the contexts end.
+type drainer interface {
+	Drain(ctx context.Context) error
+}
+
+// Kernel holds the parts of one program.
+type Kernel struct {
+	// Log receives the program's log lines; set before Run.
+	Log *slog.Logger
+	// DrainLimit bounds the graceful shutdown of all parts together; set before Run.
+	DrainLimit time.Duration
+
+	parts []named
+}
+
+type named struct {
+	name string
+	part Part
+}
+
+// New returns a kernel with one instance of each registered part.
+func New() *Kernel {
+	k := &Kernel{Log: slog.Default(), DrainLimit: 10 * time.Second}
+	for _, r := range registered() {
+		k.parts = append(k.parts, named{name: r.name, part: r.factory()})
+	}
+	return k
+}
+
+// Need returns the first part that implements T, or an error that names the missing interface.
+func Need[T any](k *Kernel) (T, error) {
+	for _, n := range k.parts {
+		if t, ok := n.part.(T); ok {
+			return t, nil
+		}
+	}
+	var zero T
+	name := reflect.TypeFor[T]().String()
+	return zero, fault.New(fault.Invalid, "no part implements "+name, "import a package that registers one")
+}
+
+// All returns every part that implements T, in order of priority.
+func All[T any](k *Kernel) []T {
+	var ts []T
+	for _, n := range k.parts {
+		if t, ok := n.part.(T); ok {
+			ts = append(ts, t)
+		}
+	}
+	return ts
+}
+
+// Check returns one error that joins the problems of all parts' settings.
+func (k *Kernel) Check() error {
+	var errs []error
+	for _, n := range k.parts {
+		c, ok := n.part.(checker)
+		if !ok {
+			continue
+		}
+		if err := c.Check(); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return errors.Join(errs...)
+}
+
+type ending struct {
+	name string
+	err  error
+}
+
+// Run starts all parts and returns after ctx is cancelled or a part fails, once every started part has ended.
+func (k *Kernel) Run(ctx context.Context) error {
+	// Parts outlive ctx until they are drained.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ends := make(chan ending, len(k.parts))
+	started := 0
+	running := 0
+	var failure error
+	for _, n := range k.parts {
+		end, err := n.part.Start(inner, k)
+		if err != nil {
+			failure = fmt.Errorf("start %s: %w", n.name, err)
+			break
+		}
+		started++
+		if end == nil {
+			continue
+		}
+		running++
+		go func() { ends <- ending{name: n.name, err: <-end} }()
+	}
+	if failure == nil {
+		k.Log.Info("started", "parts", started)
+		select {
+		case <-ctx.Done():
+		case e := <-ends:
+			running--
+			failure = fmt.Errorf("part %s ended early: %w", e.name, orUnexplained(e.err))
+		}
+	}
+	k.drain(inner, started)
+	cancel()
+	for range running {
+		e := <-ends
+		if e.err != nil && !errors.Is(e.err, context.Canceled) {
+			failure = errors.Join(failure, fmt.Errorf("stop %s: %w", e.name, e.err))
+		}
+	}
+	k.Log.Info("stopped", "clean", failure == nil)
+	return failure
+}
+
+func orUnexplained(err error) error {
+	if err == nil {
+		return errors.New("no reason given")
+	}
+	return err
+}
+
+func (k *Kernel) drain(ctx context.Context, started int) {
+	limited, cancel := context.WithTimeout(ctx, k.DrainLimit)
+	defer cancel()
+	for i := started - 1; i >= 0; i-- {
+		d, ok := k.parts[i].part.(drainer)
+		if !ok {
+			continue
+		}
+		if err := d.Drain(limited); err != nil {
+			k.Log.Warn("drain incomplete", "part", k.parts[i].name, "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/mesh/kernel/main.go
@@ -0,0 +1,72 @@
+package kernel
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+// Exit codes of a program.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitInvalid = 2
+)
+
+type common struct {
+	Check bool          `help:"Check the settings and exit."`
+	Level string        `help:"Lowest level of log lines." enum:"debug,info,warn,error" default:"info" env:"WISTERIASPOKE_LEVEL"`
+	Drain time.Duration `help:"Limit of a graceful shutdown." default:"10s" env:"WISTERIASPOKE_DRAIN"`
+}
+
+// Main parses the settings of all registered parts, runs the program until SIGINT or SIGTERM, and returns its exit code.
+func Main(name, description string) int {
+	k := New()
+	var c common
+	plugins := kong.Plugins{}
+	for _, n := range k.parts {
+		plugins = append(plugins, n.part)
+	}
+	var cli struct {
+		common
+		kong.Plugins
+	}
+	cli.Plugins = plugins
+	parser, err := kong.New(&cli, kong.Name(name), kong.Description(description), kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return exitFailed
+	}
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v; see --help\n", name, err)
+		return exitInvalid
+	}
+	c = cli.common
+	if err := k.Check(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: settings are invalid:\n%v\n", name, err)
+		return exitInvalid
+	}
+	if c.Check {
+		fmt.Println("settings are valid")
+		return exitOK
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.Level)); err != nil {
+		return exitInvalid
+	}
+	k.Log = slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("program", name)
+	k.DrainLimit = c.Drain
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := k.Run(ctx); err != nil {
+		k.Log.Error("failed", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/mesh/machine/machine.go
@@ -0,0 +1,59 @@
+package machine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/event"
+)
+
+// Machine is one concern of a node's control plane.
+type Machine interface {
+	// Step takes one event and returns what should happen, in order. It must not block, read a clock or draw from
+	// a random source other than the one in Config; events of no concern return nil.
+	Step(now time.Time, e event.Event) []effect.Effect
+}
+
+// Config is what a machine knows of its node; set before New.
+type Config struct {
+	Node        string // address that peers dial, also the node's identifier
+	Incarnation uint64 // higher after each restart at the same address
+	DataCentre  string
+	Region      string
+	Service     string // service of the local upstream, empty if none
+	Version     string // version of the local upstream
+	Slots       int    // concurrent calls that the local upstream takes
+	Seeds       []string
+	Rand        *rand.Rand
+}
+
+type registration struct {
+	name     string
+	priority int
+	factory  func(Config) Machine
+}
+
+var registry []registration
+
+// Register adds a machine to every node of the program; machines see each event in ascending priority.
+//
+// It panics if the name is already taken.
+func Register(name string, priority int, factory func(Config) Machine) {
+	if slices.ContainsFunc(registry, func(r registration) bool { return r.name == name }) {
+		panic(fmt.Sprintf("machine: %q is registered twice", name))
+	}
+	registry = append(registry, registration{name: name, priority: priority, factory: factory})
+	slices.SortStableFunc(registry, func(a, b registration) int { return a.priority - b.priority })
+}
+
+// New returns one instance of each registered machine, in order of priority.
+func New(c Config) []Machine {
+	ms := make([]Machine, 0, len(registry))
+	for _, r := range registry {
+		ms = append(ms, r.factory(c))
+	}
+	return ms
+}
--- /dev/null
+++ b/mesh/object/doc.go
@@ -0,0 +1,2 @@
+// Package object holds an object of the platform's object API.
+package object
--- /dev/null
+++ b/mesh/service/doc.go
@@ -0,0 +1,2 @@
+// Package service holds the definition of one service with its routes.
+package service
--- /dev/null
+++ b/objects/main.go
@@ -0,0 +1,4 @@
+// Command objects is a placeholder until its parts land.
+package main
+
+func main() {}
