--- /dev/null
+++ b/mesh/call/doc.go
@@ -0,0 +1,2 @@
+// Package call holds one call on its way through the mesh.
+package call
--- a/mesh/event/event.go
+++ b/mesh/event/event.go
@@ -29,6 +29,17 @@
 	Deleted  Change = "DELETED"
 )
 
+// Names of local events and the types of their values.
+const (
+	Roster   = "roster"   // roster.Roster: the view of the relays changed
+	Config   = "config"   // config.Config: a new version is in force on this node
+	Demand   = "demand"   // string: a call needs a service that the node has not subscribed to
+	Upstream = "upstream" // endpoint.State: the local upstream's state changed
+	Outcomes = "outcomes" // []outcome.Outcome: calls finished since the last event
+	Judged   = "judged"   // verdict.Verdict: a version was found bad
+	Groups   = "groups"   // group.Group: a set of endpoints changed
+)
+
 // Event is one thing that happened to a node.
 type Event struct {
 	kind     Kind
--- /dev/null
+++ b/mesh/identity/doc.go
@@ -0,0 +1,2 @@
+// Package identity is the part with the settings that say which node this is.
+package identity
--- /dev/null
+++ b/mesh/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome holds counts of finished calls, the evidence for rollouts.
+package outcome
--- /dev/null
+++ b/mesh/report/doc.go
@@ -0,0 +1,2 @@
+// Package report holds which configuration version is in force in one data centre.
+package report
--- /dev/null
+++ b/mesh/report/report.go
@@ -0,0 +1,60 @@
+package report
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Plural is where reports stand in the store, one object for each data centre.
+const Plural = "reports"
+
+// Report is an immutable summary by the relay of one data centre.
+type Report struct {
+	w wire
+}
+
+// Laggard is a node that has not applied the newest version, with the reason if it refused it.
+type Laggard struct {
+	Node    string `json:"node"`
+	Version uint64 `json:"version"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+type wire struct {
+	DataCentre string         `json:"centre"`
+	At         time.Time      `json:"at"`
+	Newest     uint64         `json:"newest"`
+	Heard      time.Time      `json:"heard"`
+	Nodes      map[uint64]int `json:"nodes"`
+	Laggards   []Laggard      `json:"laggards,omitempty"`
+}
+
+// New returns a summary: newest is the highest version that the relay knows and heard when the store last confirmed it;
+// nodes counts the nodes by version in force.
+func New(dataCentre string, at time.Time, newest uint64, heard time.Time, nodes map[uint64]int, laggards []Laggard) Report {
+	return Report{w: wire{DataCentre: dataCentre, At: at, Newest: newest, Heard: heard, Nodes: nodes, Laggards: laggards}}
+}
+
+// MarshalJSON writes the report's own format.
+func (r Report) MarshalJSON() ([]byte, error) { return json.Marshal(r.w) }
+
+// UnmarshalJSON reads the report's own format.
+func (r *Report) UnmarshalJSON(data []byte) error { return json.Unmarshal(data, &r.w) }
+
+// DataCentre returns the data centre's name.
+func (r Report) DataCentre() string { return r.w.DataCentre }
+
+// At returns when the report was made.
+func (r Report) At() time.Time { return r.w.At }
+
+// Newest returns the highest version that the relay knows.
+func (r Report) Newest() uint64 { return r.w.Newest }
+
+// Heard returns when the store last confirmed the newest version.
+func (r Report) Heard() time.Time { return r.w.Heard }
+
+// Nodes returns the number of nodes by version in force, which must not be changed.
+func (r Report) Nodes() map[uint64]int { return r.w.Nodes }
+
+// Laggards returns the nodes behind the newest version, at most 20.
+func (r Report) Laggards() []Laggard { return r.w.Laggards }
--- /dev/null
+++ b/mesh/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster holds what one node knows of the relays, so that other machines need not know how leases work.
+package roster
--- /dev/null
+++ b/mesh/verdict/doc.go
@@ -0,0 +1,2 @@
+// Package verdict holds the final judgement that a version is bad.
+package verdict
