--- a/objects/main.go
+++ b/objects/main.go
@@ -1,4 +1,18 @@
-// Command objects is a placeholder until its parts land.
+// Command objects is a stand-in for the platform's object API, for the demo and tests.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"wisteriaspoke.example/mesh/kernel"
+
+	_ "wisteriaspoke.example/objects/injector"
+	_ "wisteriaspoke.example/objects/keeper"
+	_ "wisteriaspoke.example/objects/meter"
+	_ "wisteriaspoke.example/objects/server"
+	_ "wisteriaspoke.example/objects/throttle"
+)
+
+func main() {
+	os.Exit(kernel.Main("wisteriaspoke-objects", "In-memory object store that follows the conventions of the Kubernetes API."))
+}
--- /dev/null
+++ b/objects/meter/doc.go
@@ -0,0 +1,2 @@
+// Package meter counts the calls to the stand-in store by kind.
+package meter
