--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,31 @@
-// Command bench is a placeholder until its parts land.
+// Command wisteriaspoke-bench prints the project's figures as JSON lines.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"wisteriaspoke.example/bench/reporter"
+)
+
+type settings struct {
+	List bool     `help:"Print the names of the measurements and exit."`
+	Only []string `help:"Run only these measurements." placeholder:"NAME"`
+}
+
+func main() {
+	var s settings
+	kong.Parse(&s, kong.Name("wisteriaspoke-bench"), kong.Description("Prints the project's figures as JSON lines."))
+	if s.List {
+		for _, name := range reporter.Names() {
+			fmt.Println(name)
+		}
+		return
+	}
+	if err := reporter.Run(os.Stdout, s.Only); err != nil {
+		fmt.Fprintf(os.Stderr, "wisteriaspoke-bench: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/bench/reporter/doc.go
@@ -0,0 +1,2 @@
+// Package reporter runs the measurements that packages register and prints their figures as JSON lines.
+package reporter
