--- /dev/null
+++ b/mesh/objectclient/doc.go
@@ -0,0 +1,2 @@
+// Package objectclient calls the platform's object API over HTTP and JSON.
+package objectclient
