--- a/objects/server/handler.go
+++ b/objects/server/handler.go
@@ -227,6 +227,9 @@
 
 // failure returns the Status of a fault.
 func failure(err error) status {
+	if malformed(err) {
+		return newFailure(http.StatusBadRequest, "BadRequest", err.Error())
+	}
 	switch fault.KindOf(err) {
 	case fault.NotFound:
 		return newFailure(http.StatusNotFound, "NotFound", err.Error())
@@ -242,3 +245,10 @@
 		return newFailure(http.StatusInternalServerError, "InternalError", err.Error())
 	}
 }
+
+// malformed reports whether a body was not JSON of the right shape.
+func malformed(err error) bool {
+	var syntax *json.SyntaxError
+	var shape *json.UnmarshalTypeError
+	return errors.As(err, &syntax) || errors.As(err, &shape)
+}
--- a/objects/throttle/throttle.go
+++ b/objects/throttle/throttle.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/kernel"
 )
@@ -23,13 +25,8 @@
 	// Now is the clock; set before the first call.
 	Now func() time.Time `kong:"-"`
 
-	mu            sync.Mutex
-	reads, writes bucket
-}
-
-type bucket struct {
-	tokens float64
-	at     time.Time // of the last refill; zero for a bucket that is full
+	once          sync.Once
+	reads, writes *rate.Limiter
 }
 
 // Check returns every bad setting with its remedy.
@@ -48,27 +45,18 @@
 func (t *Throttle) Start(context.Context, *kernel.Kernel) (<-chan error, error) { return nil, nil }
 
 // TakeRead reports whether a read is within the rate, and spends one if so.
-func (t *Throttle) TakeRead() bool { return t.take(&t.reads, float64(t.Reads)) }
+func (t *Throttle) TakeRead() bool {
+	t.once.Do(t.fill)
+	return t.reads.AllowN(t.Now(), 1)
+}
 
 // TakeWrite reports whether a write is within the rate, and spends one if so.
-func (t *Throttle) TakeWrite() bool { return t.take(&t.writes, float64(t.Writes)) }
+func (t *Throttle) TakeWrite() bool {
+	t.once.Do(t.fill)
+	return t.writes.AllowN(t.Now(), 1)
+}
 
-func (t *Throttle) take(b *bucket, rate float64) bool {
-	now := t.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if b.at.IsZero() {
-		b.tokens = rate
-		b.at = now
-	}
-	// Concurrent calls may take the lock in another order than they read the clock.
-	if passed := now.Sub(b.at); passed > 0 {
-		b.tokens = min(rate, b.tokens+passed.Seconds()*rate)
-		b.at = now
-	}
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
+func (t *Throttle) fill() {
+	t.reads = rate.NewLimiter(rate.Limit(t.Reads), t.Reads)
+	t.writes = rate.NewLimiter(rate.Limit(t.Writes), t.Writes)
 }
