--- a/mesh/objectclient/wire.go
+++ b/mesh/objectclient/wire.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"net/url"
 	"strings"
 
@@ -149,7 +150,11 @@
 			each(kind, o)
 		case "BOOKMARK": // only moves the version; not asked for
 		case "ERROR":
-			return refusal(decodeStatus(c.Object).Code, false, c.Object)
+			code := decodeStatus(c.Object).Code
+			if code < http.StatusBadRequest {
+				return unreadable(false)(errors.New("a failure of the watch has no code"))
+			}
+			return refusal(code, false, c.Object)
 		default:
 			return unreadable(false)(fmt.Errorf("a change has the unknown type %q", c.Type))
 		}
