--- a/objects/injector/injector.go
+++ b/objects/injector/injector.go
@@ -9,7 +9,7 @@
 )
 
 func init() {
-	kernel.Register("injector", 10, func() kernel.Part { return &Injector{} })
+	kernel.Register("objects-injector", 10, func() kernel.Part { return &Injector{} })
 }
 
 // Injector holds the faults that are in force.
--- a/objects/keeper/keeper.go
+++ b/objects/keeper/keeper.go
@@ -19,7 +19,7 @@
 const MaxSpec = 1 << 20
 
 func init() {
-	kernel.Register("keeper", 10, func() kernel.Part { return &Keeper{} })
+	kernel.Register("objects-keeper", 10, func() kernel.Part { return &Keeper{} })
 }
 
 // Keeper is an in-memory object store with one order over all writes; its methods may be called concurrently.
--- a/objects/meter/meter.go
+++ b/objects/meter/meter.go
@@ -22,7 +22,7 @@
 var names = [kinds]string{"get", "list", "create", "update", "delete", "watch", "throttled"}
 
 func init() {
-	kernel.Register("meter", 10, func() kernel.Part { return &Meter{} })
+	kernel.Register("objects-meter", 10, func() kernel.Part { return &Meter{} })
 }
 
 // Meter holds one counter for each kind of call, and the number of watches that wait now.
--- a/objects/server/server.go
+++ b/objects/server/server.go
@@ -23,7 +23,7 @@
 )
 
 func init() {
-	kernel.Register("server", 50, func() kernel.Part { return &Server{} })
+	kernel.Register("objects-server", 50, func() kernel.Part { return &Server{} })
 }
 
 // storage holds the objects; its errors are faults.
--- a/objects/throttle/throttle.go
+++ b/objects/throttle/throttle.go
@@ -14,7 +14,7 @@
 )
 
 func init() {
-	kernel.Register("throttle", 10, func() kernel.Part { return &Throttle{Now: time.Now} })
+	kernel.Register("objects-throttle", 10, func() kernel.Part { return &Throttle{Now: time.Now} })
 }
 
 // Throttle has one token bucket for reads and one for writes; each holds the calls of one second.
