--- /dev/null
+++ b/load/tally/doc.go
@@ -0,0 +1,2 @@
+// Package tally adds up the results of calls.
+package tally
--- a/mesh/objectclient/client_test.go
+++ b/mesh/objectclient/client_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,8 +53,11 @@
 
 // TestRequests guards against a request that departs from the published conventions.
 func TestRequests(t *testing.T) {
+	var mu sync.Mutex
 	var got bytes.Buffer
 	c := connect(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
 		fmt.Fprintf(&got, "%s %s\n", r.Method, r.URL)
 		for _, h := range []string{"Authorization", "Accept", "Content-Type"} {
 			fmt.Fprintf(&got, "%s: %s\n", h, r.Header.Get(h))
@@ -63,6 +67,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	calls(t, c)
+	mu.Lock()
+	defer mu.Unlock()
 	goldie.New(t).Assert(t, "requests", got.Bytes())
 }
 
