--- /dev/null
+++ b/mesh/ranker/ranker_test.go
@@ -0,0 +1,72 @@
+package ranker_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wisteriaspoke.example/mesh/ranker"
+)
+
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// TestSince compares Since with a replay of all views: it must never name a time at which the node did not own the key,
+// as that would let a key run twice.
+func TestSince(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		joined := map[string]time.Time{}
+		view := ranker.New(joined)
+		type moment struct {
+			at     time.Time
+			owners []string
+		}
+		var past []moment
+		const key = "k"
+		for range rapid.IntRange(1, 30).Draw(t, "changes") {
+			now = now.Add(time.Second)
+			n := fmt.Sprintf("n%d", rapid.IntRange(0, 6).Draw(t, "node"))
+			if _, in := joined[n]; in && rapid.Bool().Draw(t, "leaves") {
+				delete(joined, n)
+			} else {
+				joined[n] = now
+			}
+			view = view.Next(joined, now, time.Hour)
+			past = append(past, moment{at: now, owners: view.Rank(key)})
+		}
+		for n := range joined {
+			since, is := view.Since(key, n)
+			if is != slices.Contains(view.Rank(key), n) {
+				t.Fatalf("%s: Since says owner %v, Rank says %v", n, is, view.Rank(key))
+			}
+			if !is {
+				continue
+			}
+			for _, m := range past {
+				if !m.at.Before(since) && !slices.Contains(m.owners, n) {
+					t.Fatalf("%s: said to own the key since %v, but did not at %v", n, since, m.at)
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkRank(b *testing.B) {
+	for _, size := range []int{6, 18, 100} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			joined := map[string]time.Time{}
+			for i := range size {
+				joined[fmt.Sprintf("10.0.0.%d:7400", i)] = time.Unix(0, 0)
+			}
+			r := ranker.New(joined)
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Rank("meldung/018f2f5e-7a52-7cc0-9d1c-3f1f2d6c1a55")
+			}
+		})
+	}
+}
