reserver: ask a key's owners before its call runs

A key that carries its creation time (UUIDv7 or Wisteriaspoke-Created) is proven new by owners that have been owners for longer; an opaque key only by owners older than the hold time. Ruled out: trusting the join time in the groups after a restart.

--- a/mesh/arbiter/once_test.go
+++ b/mesh/arbiter/once_test.go
@@ -55,7 +55,6 @@
 	asked   []string
 	owners  int
 	replies []arbiter.Reply
-	ran     bool
 }
 
 func newFleet(t *rapid.T, d decide) *fleet {
--- a/mesh/ledger/ledger.go
+++ b/mesh/ledger/ledger.go
@@ -53,6 +53,9 @@
 	kept   bool
 }
 
+// NewHeld returns what another node's ledger said; kept says that a is the first answer.
+func NewHeld(s State, a answer.Answer, kept bool) Held { return Held{state: s, answer: a, kept: kept} }
+
 // State returns what is known of the key.
 func (h Held) State() State { return h.state }
 
@@ -121,12 +124,12 @@
 	}
 	r.state = Done
 	size := len(a.Body())
+	if len(l.records)*recordSize+size > l.Bytes {
+		return
+	}
 	for l.bytes+size > l.Bytes && l.dropAnswer() {
 		continue
 	}
-	if l.bytes+size > l.Bytes {
-		return
-	}
 	r.answer, r.kept = a, true
 	l.bytes += size
 }
--- /dev/null
+++ b/mesh/reserver/reserver_test.go
@@ -0,0 +1,192 @@
+package reserver
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/encoder"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/group"
+	"wisteriaspoke.example/mesh/message"
+)
+
+// mesh connects reservers in one process; messages pass through the encoder.
+type mesh struct {
+	t     *testing.T
+	mutex sync.Mutex
+	parts map[string]*Reserver
+	dead  map[string]bool
+	lose  string // kind of message that is lost
+}
+
+type port struct {
+	mesh *mesh
+	node string
+}
+
+func (p port) Send(peer string, m message.Message) {
+	data, err := encoder.Encode(m)
+	if err != nil {
+		p.mesh.t.Error(err)
+		return
+	}
+	decoded, err := encoder.Decode(data)
+	if err != nil {
+		p.mesh.t.Error(err)
+		return
+	}
+	p.mesh.mutex.Lock()
+	to, lost := p.mesh.parts[peer], p.mesh.dead[peer] || p.mesh.lose == m.Kind()
+	p.mesh.mutex.Unlock()
+	if to != nil && !lost {
+		go to.Handle(p.node, decoded)
+	}
+}
+
+func newMesh(t *testing.T) *mesh {
+	m := &mesh{t: t, parts: map[string]*Reserver{}, dead: map[string]bool{}}
+	for i := range 5 {
+		m.boot(fmt.Sprintf("10.0.0.%d:7400", i))
+	}
+	m.members(1, time.Now())
+	return m
+}
+
+func (m *mesh) boot(node string) {
+	r := &Reserver{ReplyLimit: 250 * time.Millisecond}
+	r.open(node, port{mesh: m, node: node}, time.Now)
+	m.parts[node] = r
+}
+
+// members publishes the same group to all nodes; restarted ones joined now.
+func (m *mesh) members(sequence uint64, joined time.Time, restarted ...string) {
+	var es []endpoint.Endpoint
+	for i := range 5 {
+		n := fmt.Sprintf("10.0.0.%d:7400", i)
+		at := joined
+		for _, r := range restarted {
+			if r == n {
+				at = time.Now()
+			}
+		}
+		es = append(es, endpoint.New(endpoint.Fields{Address: n, Service: "meldung", State: endpoint.Ready, Joined: at}))
+	}
+	for _, r := range m.parts {
+		r.Publish(group.New("obb-a", "meldung", 1, sequence, es))
+	}
+}
+
+func (m *mesh) owners(c call.Call) []string {
+	return (*m.parts["10.0.0.0:7400"].views.Load())["meldung"].ranker.Rank(fullKey(c))
+}
+
+func (m *mesh) outsiders(c call.Call) []string {
+	owners := m.owners(c)
+	var out []string
+	for i := range 5 {
+		if n := fmt.Sprintf("10.0.0.%d:7400", i); !slices.Contains(owners, n) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func keyed(key, body string) call.Call {
+	return call.New(call.Fields{Method: "POST", Path: "/entries", Service: "meldung", Key: key, Body: []byte(body), Left: 1000})
+}
+
+func uuid(at time.Time, n int) string {
+	ms := fmt.Sprintf("%012x", at.UnixMilli())
+	return fmt.Sprintf("%s-%s-7000-8000-%012x", ms[:8], ms[8:], n)
+}
+
+// TestOnce guards against a second run of a key through another node, after a lost report, the death of owners, or a
+// restart that lost their memory.
+func TestOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out strings.Builder
+		runs := 0
+		// The entry node is the given one of the two that do not own the key, so that all records are remote.
+		send := func(what string, m *mesh, entry int, c call.Call, end answer.Answer) {
+			node := m.outsiders(c)[entry]
+			a := m.parts[node].Once(t.Context(), c, func(context.Context) answer.Answer {
+				runs++
+				return end
+			})
+			synctest.Wait()
+			fmt.Fprintf(&out, "%-46s %d ran=%s reason=%q body=%q runs=%d\n", what, a.Status(), a.Ran(), a.Reason(), a.Body(), runs)
+			runs = 0
+		}
+		whole := answer.New(answer.Fields{Status: 201, Ran: answer.Yes, Body: []byte("lane 4")})
+		cut := answer.New(answer.Fields{Status: 502, Ran: answer.Maybe})
+		full := answer.New(answer.Fields{Status: 503, Ran: answer.No, Reason: "full"})
+
+		m := newMesh(t)
+		time.Sleep(time.Minute)
+		key := uuid(time.Now(), 1)
+		send("first", m, 0, keyed(key, "a"), whole)
+		send("again through another node", m, 1, keyed(key, "a"), whole)
+		send("another request under the key", m, 1, keyed(key, "b"), whole)
+		key = uuid(time.Now(), 2)
+		send("refused before it ran", m, 0, keyed(key, "a"), full)
+		send("and sent again", m, 0, keyed(key, "a"), whole)
+		key = uuid(time.Now(), 3)
+		send("cut answer", m, 0, keyed(key, "a"), cut)
+		send("and sent again", m, 0, keyed(key, "a"), whole)
+		key = uuid(time.Now(), 4)
+		m.lose = kindFinish
+		send("end not reported", m, 0, keyed(key, "a"), whole)
+		m.lose = ""
+		send("and sent again at once", m, 0, keyed(key, "a"), whole)
+		time.Sleep(3 * time.Second)
+		send("and sent again later", m, 0, keyed(key, "a"), whole)
+
+		key = uuid(time.Now(), 5)
+		send("before all nodes restart", m, 0, keyed(key, "a"), whole)
+		for n := range m.parts {
+			m.boot(n)
+		}
+		m.members(2, time.Now())
+		time.Sleep(10 * time.Second)
+		send("after all nodes have restarted", m, 1, keyed(key, "a"), whole)
+		key = uuid(time.Now(), 10)
+		send("before all nodes restart again", m, 0, keyed(key, "a"), whole)
+		for n := range m.parts {
+			m.boot(n)
+		}
+		m.members(3, time.Now().Add(-time.Hour))
+		send("restarted, old groups still stand", m, 1, keyed(key, "a"), whole)
+		time.Sleep(10 * time.Second)
+		send("a new key", m, 1, keyed(uuid(time.Now(), 6), "a"), whole)
+		send("an opaque key on young nodes", m, 1, keyed("order-17", "a"), whole)
+		send("a key from the future", m, 1, keyed(uuid(time.Now().Add(time.Minute), 7), "a"), whole)
+		time.Sleep(holdTime)
+		send("an opaque key on old nodes", m, 1, keyed("order-17", "a"), whole)
+		send("a key older than the records", m, 1, keyed(key, "a"), whole)
+
+		key = uuid(time.Now(), 8)
+		owners := m.owners(keyed(key, "a"))
+		m.dead[owners[0]] = true
+		send("one owner dead", m, 0, keyed(key, "a"), whole)
+		m.dead[owners[1]] = true
+		send("two owners dead, sent again", m, 1, keyed(key, "a"), whole)
+		n := 9
+		for key = uuid(time.Now(), n); !m.dead[m.owners(keyed(key, "a"))[0]] || !m.dead[m.owners(keyed(key, "a"))[1]]; n++ {
+			key = uuid(time.Now(), n)
+		}
+		send("two owners dead, a new request", m, 0, keyed(key, "a"), whole)
+		m.dead = map[string]bool{}
+		send("owners back, sent again", m, 1, keyed(key, "a"), whole)
+		goldie.New(t).Assert(t, "once", []byte(out.String()))
+	})
+}
--- /dev/null
+++ b/mesh/reserver/shard.go
@@ -0,0 +1,52 @@
+package reserver
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/ledger"
+)
+
+// Bounds of a node's records: 8 MB together, kept for ten minutes after the last change.
+const (
+	shardCount   = 16
+	shardBytes   = 8 << 20 / shardCount
+	shardRecords = 32768 / shardCount
+	holdTime     = 10 * time.Minute
+)
+
+// shards spreads keys over ledgers with a lock each; only calls with a key come here.
+type shards [shardCount]struct {
+	mutex  sync.Mutex
+	ledger ledger.Ledger
+}
+
+func newShards() *shards {
+	var s shards
+	for i := range s {
+		s[i].ledger = ledger.Ledger{Hold: holdTime, Bytes: shardBytes, Records: shardRecords}
+	}
+	return &s
+}
+
+func (s *shards) reserve(now time.Time, b *reserveBody) ledger.Held {
+	h := &s[xxhash.Sum64String(b.Key)%shardCount]
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	deadline := now.Add(time.Duration(b.Left) * time.Millisecond)
+	return h.ledger.Reserve(now, b.Key, b.Print, b.Attempt, deadline)
+}
+
+func (s *shards) finish(now time.Time, b *finishBody) {
+	h := &s[xxhash.Sum64String(b.Key)%shardCount]
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if b.Answer.Ran() == answer.No {
+		h.ledger.Release(b.Key, b.Attempt)
+		return
+	}
+	h.ledger.Finish(now, b.Key, b.Attempt, b.Answer)
+}
