--- /dev/null
+++ b/mesh/publisher/publisher.go
@@ -0,0 +1,198 @@
+package publisher
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"wisteriaspoke.example/mesh/config"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/group"
+	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/router"
+	"wisteriaspoke.example/mesh/snapshot"
+	"wisteriaspoke.example/mesh/verdict"
+)
+
+func init() {
+	kernel.Register("publisher", 50, func() kernel.Part { return New(snapshot.Place{}) })
+}
+
+// settler knows which node this is.
+type settler interface {
+	// Config returns what is known of this node.
+	Config() machine.Config
+}
+
+// Publisher builds snapshots aside and stores each with one pointer, so that calls never wait for it.
+type Publisher struct {
+	log     *slog.Logger
+	current atomic.Pointer[snapshot.Snapshot]
+
+	// mutex guards the fields below, which only Publish uses; calls read current.
+	mutex    sync.Mutex
+	place    snapshot.Place
+	config   config.Config
+	table    *router.Table
+	groups   map[string]map[string]group.Group // by service, then data centre
+	verdicts map[string][]verdict.Verdict      // by service
+	counters map[string]map[identity]*snapshot.Counters
+	pools    map[string]*snapshot.Pool
+}
+
+// identity tells a restarted endpoint from its predecessor, whose failures do not count against it.
+type identity struct {
+	address     string
+	incarnation uint64
+}
+
+// New returns a publisher for a node at the place.
+func New(p snapshot.Place) *Publisher {
+	return &Publisher{
+		log:      slog.Default(),
+		place:    p,
+		groups:   map[string]map[string]group.Group{},
+		verdicts: map[string][]verdict.Verdict{},
+		counters: map[string]map[identity]*snapshot.Counters{},
+		pools:    map[string]*snapshot.Pool{},
+	}
+}
+
+// Start reads the node's place.
+func (p *Publisher) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
+	s, err := kernel.Need[settler](k)
+	if err != nil {
+		return nil, err
+	}
+	c := s.Config()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.log = k.Log
+	p.place = snapshot.Place{DataCentre: c.DataCentre, Region: c.Region}
+	return nil, nil
+}
+
+// Snapshot returns the state in force, or nil before the first configuration.
+func (p *Publisher) Snapshot() *snapshot.Snapshot { return p.current.Load() }
+
+// Ready returns nil once a configuration is in force.
+func (p *Publisher) Ready() error {
+	if p.current.Load() == nil {
+		return fault.New(fault.Unavailable, "no configuration is in force on this node", "wait until it has read one from the store or a relay")
+	}
+	return nil
+}
+
+// Publish takes a config.Config, a group.Group or a verdict.Verdict and ignores older ones and other values.
+func (p *Publisher) Publish(value any) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	switch v := value.(type) {
+	case config.Config:
+		p.publishConfig(v)
+	case group.Group:
+		p.publishGroup(v)
+	case verdict.Verdict:
+		p.publishVerdict(v)
+	}
+}
+
+func (p *Publisher) publishConfig(c config.Config) {
+	if p.table != nil && c.Version() <= p.config.Version() {
+		p.log.Debug("older configuration ignored", "version", c.Version(), "inforce", p.config.Version())
+		return
+	}
+	p.config = c
+	p.table = router.New(c.Services())
+	p.forgetVerdicts()
+	p.pools = make(map[string]*snapshot.Pool, len(c.Services()))
+	for name := range c.Services() {
+		p.pools[name] = p.build(name)
+	}
+	p.store()
+	p.log.Info("configuration in force", "version", c.Version(), "preset", c.Preset(), "services", len(c.Services()))
+}
+
+func (p *Publisher) publishGroup(g group.Group) {
+	centres := p.groups[g.Service()]
+	if centres == nil {
+		centres = map[string]group.Group{}
+		p.groups[g.Service()] = centres
+	}
+	old, known := centres[g.DataCentre()]
+	if known && !g.Replaces(old) {
+		return
+	}
+	centres[g.DataCentre()] = g
+	p.rebuild(g.Service())
+}
+
+func (p *Publisher) publishVerdict(v verdict.Verdict) {
+	for _, k := range p.verdicts[v.Service()] {
+		if k.Rollout() == v.Rollout() && k.Version() == v.Version() {
+			return
+		}
+	}
+	p.verdicts[v.Service()] = append(p.verdicts[v.Service()], v)
+	p.rebuild(v.Service())
+	p.log.Warn("version taken out", "service", v.Service(), "version", v.Version(), "rollout", v.Rollout(), "reason", v.Reason())
+}
+
+// forgetVerdicts drops the verdicts on rollouts that a service's split no longer names, except the last of each
+// service: it may have arrived before the version of the configuration that names its rollout.
+func (p *Publisher) forgetVerdicts() {
+	for name, vs := range p.verdicts {
+		split, ok := p.config.Shares()[name]
+		if !ok {
+			continue
+		}
+		var kept []verdict.Verdict
+		for i, v := range vs {
+			if v.Rollout() == split.Rollout() || i == len(vs)-1 {
+				kept = append(kept, v)
+			}
+		}
+		p.verdicts[name] = kept
+	}
+}
+
+// rebuild replaces the pool of one service; the others are shared with the snapshot before.
+func (p *Publisher) rebuild(service string) {
+	if _, ok := p.config.Services()[service]; !ok {
+		return
+	}
+	p.pools = maps.Clone(p.pools)
+	p.pools[service] = p.build(service)
+	p.store()
+}
+
+func (p *Publisher) store() {
+	p.current.Store(snapshot.New(p.config.Version(), p.config.Preset(), p.table, p.pools))
+}
+
+func (p *Publisher) build(service string) *snapshot.Pool {
+	old := p.counters[service]
+	kept := map[identity]*snapshot.Counters{}
+	keep := func(e endpoint.Endpoint) *snapshot.Counters {
+		id := identity{address: e.Address(), incarnation: e.Incarnation()}
+		c := old[id]
+		if c == nil {
+			c = &snapshot.Counters{}
+		}
+		kept[id] = c
+		return c
+	}
+	var endpoints []endpoint.Endpoint
+	centres := p.groups[service]
+	for _, name := range slices.Sorted(maps.Keys(centres)) {
+		endpoints = append(endpoints, centres[name].Endpoints()...)
+	}
+	pool := snapshot.NewPool(p.config.Services()[service], p.config.Shares()[service], p.verdicts[service], endpoints, p.place, keep)
+	p.counters[service] = kept
+	return pool
+}
--- /dev/null
+++ b/mesh/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier decides whether a call is attempted again.
+package retrier
--- /dev/null
+++ b/mesh/router/doc.go
@@ -0,0 +1,2 @@
+// Package router finds the route and the service of a call.
+package router
--- /dev/null
+++ b/mesh/snapshot/counters.go
@@ -0,0 +1,94 @@
+package snapshot
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// reportAge is how long an endpoint's reported load is believed. Older reports mislead more than they help.
+const reportAge = time.Second
+
+// Counters are what this node has seen of one endpoint; they outlive the snapshots that point to them.
+type Counters struct {
+	outstanding atomic.Int32
+	failures    atomic.Int32 // in a row
+	ejections   atomic.Int32 // since the last success
+	ejected     atomic.Int64 // until, nanoseconds since 1970
+	held        atomic.Int64 // until, nanoseconds since 1970
+	reported    atomic.Int32 // calls at the endpoint, as it said
+	slots       atomic.Int32 // the endpoint's limit, as it said; 0 if unknown
+	reportedAt  atomic.Int64
+}
+
+// Begin counts a call that is about to be sent.
+func (c *Counters) Begin() { c.outstanding.Add(1) }
+
+// End counts the end of a call.
+func (c *Counters) End() { c.outstanding.Add(-1) }
+
+// Outstanding returns the calls that this node has at the endpoint.
+func (c *Counters) Outstanding() int { return int(c.outstanding.Load()) }
+
+// Succeed ends a row of failures.
+func (c *Counters) Succeed() {
+	if c.failures.Load() != 0 {
+		c.failures.Store(0)
+	}
+	if c.ejections.Load() != 0 {
+		c.ejections.Store(0)
+	}
+}
+
+// Fail counts a failure and returns the length of the row.
+func (c *Counters) Fail() int { return int(c.failures.Add(1)) }
+
+// Failures returns the number of failures since the last success.
+func (c *Counters) Failures() int { return int(c.failures.Load()) }
+
+// Eject keeps calls from the endpoint until the given time and returns how often this has happened in a row.
+func (c *Counters) Eject(until time.Time) int {
+	c.failures.Store(0)
+	c.ejected.Store(until.UnixNano())
+	return int(c.ejections.Add(1))
+}
+
+// Readmit ends an ejection.
+func (c *Counters) Readmit() { c.ejected.Store(0) }
+
+// Ejections returns the number of ejections since the last success.
+func (c *Counters) Ejections() int { return int(c.ejections.Load()) }
+
+// Ejected reports whether an ejection lasts at the given time.
+func (c *Counters) Ejected(now time.Time) bool { return now.UnixNano() < c.ejected.Load() }
+
+// Hold makes other endpoints preferable until the given time; an endpoint that refused a call is held.
+func (c *Counters) Hold(until time.Time) {
+	n := until.UnixNano()
+	for {
+		old := c.held.Load()
+		if old >= n || c.held.CompareAndSwap(old, n) {
+			return
+		}
+	}
+}
+
+// Held reports whether the endpoint is held at the given time.
+func (c *Counters) Held(now time.Time) bool { return now.UnixNano() < c.held.Load() }
+
+// Report keeps the load that the endpoint's answer gave; slots of zero means that it gave none.
+func (c *Counters) Report(outstanding, slots int, now time.Time) {
+	if slots == 0 {
+		return
+	}
+	c.reported.Store(int32(outstanding))
+	c.slots.Store(int32(slots))
+	c.reportedAt.Store(now.UnixNano())
+}
+
+// Reported returns the load that the endpoint gave within the last second, or zeros.
+func (c *Counters) Reported(now time.Time) (outstanding, slots int) {
+	if now.UnixNano()-c.reportedAt.Load() > int64(reportAge) {
+		return 0, 0
+	}
+	return int(c.reported.Load()), int(c.slots.Load())
+}
