--- /dev/null
+++ b/mesh/dispatcher/doc.go
@@ -0,0 +1,2 @@
+// Package dispatcher is the part that runs calls on the local upstream and watches it.
+package dispatcher
