--- /dev/null
+++ b/mesh/admitter/do.go
@@ -0,0 +1,227 @@
+package admitter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/balancer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/retrier"
+	"wisteriaspoke.example/mesh/route"
+	"wisteriaspoke.example/mesh/service"
+	"wisteriaspoke.example/mesh/snapshot"
+)
+
+// Reasons of refusals and failures that arise here.
+const (
+	reasonStarting    = "starting"    // no configuration yet
+	reasonUnrouted    = "unrouted"    // no route matches
+	reasonNone        = "none"        // the service has no usable endpoint
+	reasonUnreachable = "unreachable" // the endpoint's node was not reached
+	reasonLost        = "lost"        // the link broke before the answer came
+	reasonTimeout     = "timeout"     // the deadline passed before the answer came
+	reasonLeaving     = "leaving"     // the node takes no new calls
+	reasonWaiting     = "waiting"     // too many calls in flight
+	reasonMemory      = "memory"      // too many bytes in flight
+	reasonHeaders     = "headers"     // headers over the limit
+	reasonLarge       = "large"       // body over the limit
+	reasonDepth       = "depth"       // too many calls above this one
+	reasonBad         = "bad"         // not a valid request
+)
+
+// Reasons of an endpoint's refusals that concern its next calls too.
+const (
+	refusedFull      = "full"
+	refusedDown      = "down"
+	refusedMisrouted = "misrouted"
+)
+
+// How long an endpoint that refused is avoided while others have capacity.
+const (
+	fullHold = 50 * time.Millisecond
+	downHold = time.Second
+	// leavingHold is the bound on the time until all nodes know that an endpoint is leaving.
+	leavingHold = 3 * time.Second
+)
+
+// Do routes the call and brings it to its end: a whole response, or a refusal or failure that says whether it may have
+// run. The fields' route and what follows from it are set here; Left is the caller's limit in milliseconds, or zero.
+func (a *Admitter) Do(ctx context.Context, f call.Fields, header func(name string) string) answer.Answer {
+	s := a.publisher.Snapshot()
+	if s == nil {
+		return a.refuse(http.StatusServiceUnavailable, reasonStarting)
+	}
+	r, v, ok := s.Table().Match(f.Host, f.Path, f.Method, header)
+	if !ok {
+		a.demand(f.Host)
+		return a.refuse(http.StatusNotFound, reasonUnrouted)
+	}
+	start := time.Now()
+	limit := timeout(r, v, f.Left)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	f.Service = v.Name()
+	f.Route = r.Name()
+	f.Tenant = r.Tenant()
+	f.Class = r.Class()
+	f.Idempotent = r.Idempotent(f.Method)
+	n := a.attempts(ctx, s, f, start.Add(limit))
+	a.meter.calls.get(group{tenant: f.Tenant, class: f.Class}).add(time.Since(start))
+	if n.Ran() == answer.No {
+		a.meter.refusals.get(n.Reason()).Add(1)
+	}
+	return n
+}
+
+// refuse returns a refusal that comes before the route is known.
+func (a *Admitter) refuse(status int, reason string) answer.Answer {
+	a.meter.refusals.get(reason).Add(1)
+	return answer.New(answer.Fields{Status: status, Ran: answer.No, Reason: reason})
+}
+
+func (a *Admitter) demand(host string) {
+	if host != "" && a.demands.due(host, time.Now()) {
+		a.injector.Inject(event.NewLocal(event.Demand, host))
+	}
+}
+
+// timeout returns the limit for a call: the route's, else the service's, or the caller's if it is shorter.
+func timeout(r route.Route, s service.Service, left int64) time.Duration {
+	limit := r.Timeout()
+	if limit == 0 {
+		limit = s.Timeout()
+	}
+	if left > 0 && left < limit.Milliseconds() {
+		limit = time.Duration(left) * time.Millisecond
+	}
+	return limit
+}
+
+// attempts runs the call until an attempt stands. A later refusal does not replace the answer of an attempt that may
+// have run, as Ran "no" would then be false for the call as a whole.
+func (a *Admitter) attempts(ctx context.Context, s *snapshot.Snapshot, f call.Fields, deadline time.Time) answer.Answer {
+	own := a.budgets.get(f.Service)
+	own.Earn()
+	a.budget.Earn()
+	var failed []*snapshot.Member
+	var retried bool
+	last := answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonNone})
+	for attempt := 1; ; attempt++ {
+		m := balancer.Pick(s, f.Service, a.random, time.Now(), failed)
+		if m == nil {
+			return marked(last, retried)
+		}
+		f.Version = m.Endpoint().Version()
+		f.Left = max(1, time.Until(deadline).Milliseconds())
+		n := a.attempt(ctx, m, call.New(f))
+		if n.Ran() != answer.No || last.Ran() == answer.No {
+			last = n
+		}
+		d := retrier.Next(attempt, n, f.Idempotent, own.Enough() && a.budget.Enough(), time.Until(deadline), a.random)
+		retried = retried || d.Exhausted()
+		if !d.Retry() || !a.spend(own) || !pause(ctx, d.Wait()) {
+			return marked(last, retried)
+		}
+		retried = true
+		failed = append(failed, m)
+	}
+}
+
+// marked adds that a retry was used or was not affordable, so that the hop above does not retry.
+func marked(n answer.Answer, retried bool) answer.Answer {
+	if !retried || n.Retried() {
+		return n
+	}
+	f := n.Fields()
+	f.Retried = true
+	return answer.New(f)
+}
+
+// spend pays for a retry from the budgets of the service and of the node.
+func (a *Admitter) spend(own *retrier.Budget) bool {
+	if !own.Spend() {
+		return false
+	}
+	if !a.budget.Spend() {
+		own.Refund()
+		return false
+	}
+	return true
+}
+
+// pause waits and reports whether the call still has time.
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// attempt runs the call once at the endpoint and keeps what was seen.
+func (a *Admitter) attempt(ctx context.Context, m *snapshot.Member, c call.Call) answer.Answer {
+	m.Counters().Begin()
+	defer m.Counters().End()
+	start := time.Now()
+	n := a.send(ctx, m.Address(), c)
+	if errors.Is(ctx.Err(), context.Canceled) && n.Ran() != answer.Yes {
+		// The caller left, which says nothing about the endpoint.
+		return n
+	}
+	a.observe(m, n, time.Now())
+	a.tally.add(m, c.Route(), n, time.Since(start))
+	return n
+}
+
+func (a *Admitter) send(ctx context.Context, address string, c call.Call) answer.Answer {
+	if address == a.node {
+		return a.dispatcher.Serve(ctx, c)
+	}
+	n, err := a.linker.Call(ctx, address, c)
+	switch {
+	case err == nil:
+		return n
+	case fault.KindOf(err) == fault.NotRun:
+		return answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonUnreachable})
+	case ctx.Err() != nil:
+		return answer.New(answer.Fields{Status: http.StatusGatewayTimeout, Ran: answer.Maybe, Reason: reasonTimeout})
+	}
+	return answer.New(answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: reasonLost})
+}
+
+// observe updates the endpoint's counters from an answer.
+func (a *Admitter) observe(m *snapshot.Member, n answer.Answer, now time.Time) {
+	c := m.Counters()
+	c.Report(n.Outstanding(), n.Slots(), now)
+	if n.Ran() == answer.Yes && n.Status() < http.StatusInternalServerError {
+		c.Succeed()
+		return
+	}
+	switch n.Reason() {
+	case refusedFull:
+		c.Hold(now.Add(fullHold))
+		return
+	case reasonLeaving:
+		c.Hold(now.Add(leavingHold))
+		return
+	case refusedDown, refusedMisrouted, reasonUnreachable:
+		c.Hold(now.Add(downHold))
+	}
+	if n.Ran() == answer.No && n.Reason() != refusedDown && n.Reason() != reasonUnreachable {
+		return
+	}
+	if balancer.Failed(m, now) {
+		a.log.Warn("endpoint ejected", "service", m.Endpoint().Service(), "endpoint", m.Address())
+	}
+}
--- /dev/null
+++ b/mesh/admitter/explain.go
@@ -0,0 +1,121 @@
+package admitter
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/route"
+	"wisteriaspoke.example/mesh/share"
+	"wisteriaspoke.example/mesh/snapshot"
+)
+
+// Explanation says where a call would go and why; its fields are the operators' format.
+type Explanation struct {
+	Config     uint64      `json:"config"` // version of the configuration in force; zero if none
+	Service    string      `json:"service,omitempty"`
+	Route      string      `json:"route,omitempty"`
+	Path       string      `json:"path,omitempty"` // the prefix that matched
+	Tenant     string      `json:"tenant,omitempty"`
+	Class      route.Class `json:"class,omitempty"`
+	Idempotent bool        `json:"idempotent"`
+	Timeout    int64       `json:"timeout,omitempty"` // milliseconds
+	Shares     []Portion   `json:"shares,omitempty"`
+	Candidates []Candidate `json:"candidates,omitempty"` // in the order of preference
+	Why        string      `json:"why"`
+}
+
+// Portion is the share of one version.
+type Portion struct {
+	Version  string `json:"version"`
+	Permille int    `json:"permille"`
+	Why      string `json:"why"`
+}
+
+// Candidate is one endpoint that could take the call.
+type Candidate struct {
+	Address     string         `json:"address"`
+	Version     string         `json:"version"`
+	DataCentre  string         `json:"centre"`
+	Tier        string         `json:"tier"`
+	State       endpoint.State `json:"state"`
+	Outstanding int            `json:"outstanding"` // of this node
+	Slots       int            `json:"slots"`
+	Why         string         `json:"why"`
+
+	rank int
+}
+
+// Explain returns what would happen to a call now, without sending one.
+func (a *Admitter) Explain(method, host, path string, header func(name string) string) Explanation {
+	s := a.publisher.Snapshot()
+	if s == nil {
+		return Explanation{Why: "no configuration is in force on this node"}
+	}
+	r, v, ok := s.Table().Match(host, path, method, header)
+	if !ok {
+		return Explanation{Config: s.Version(), Why: fmt.Sprintf("no route of %d services matches %s %s%s", len(s.Pools()), method, host, path)}
+	}
+	x := Explanation{
+		Config: s.Version(), Service: v.Name(), Route: r.Name(), Path: r.Path(), Tenant: r.Tenant(), Class: r.Class(),
+		Idempotent: r.Idempotent(method), Timeout: timeout(r, v, 0).Milliseconds(),
+	}
+	o := s.Pool(v.Name())
+	now := time.Now()
+	x.Shares = portions(o)
+	x.Candidates = append(candidates(o.Stable(), now), candidates(o.Candidate(), now)...)
+	slices.SortStableFunc(x.Candidates, func(a, b Candidate) int { return cmp.Compare(a.rank, b.rank) })
+	x.Why = fmt.Sprintf("route %s of service %s has the longest matching prefix %s", r.Name(), v.Name(), r.Path())
+	if len(x.Candidates) == 0 {
+		x.Why += "; the service has no ready or suspect endpoint of these versions"
+	}
+	return x
+}
+
+func portions(o *snapshot.Pool) []Portion {
+	c := o.Candidate()
+	if c == nil {
+		return []Portion{{Version: o.Stable().Name(), Permille: share.Whole, Why: "no rollout is under way"}}
+	}
+	why := "share of the rollout"
+	if v := o.Verdict(); v != nil {
+		why = "taken out: " + v.Reason()
+	}
+	return []Portion{
+		{Version: o.Stable().Name(), Permille: share.Whole - o.Permille(), Why: "all calls that the candidate does not take"},
+		{Version: c.Name(), Permille: o.Permille(), Why: why},
+	}
+}
+
+// candidates returns a version's endpoints with their rank: the steps in which the balancer relaxes its rules, then
+// the tiers.
+func candidates(v *snapshot.Version, now time.Time) []Candidate {
+	if v == nil {
+		return nil
+	}
+	var cs []Candidate
+	for _, m := range v.Members() {
+		e := m.Endpoint()
+		k := m.Counters()
+		c := Candidate{
+			Address: e.Address(), Version: e.Version(), DataCentre: e.DataCentre(), Tier: m.Tier().String(), State: e.State(),
+			Outstanding: k.Outstanding(), Slots: m.Slots(), Why: "ready",
+		}
+		step := 0
+		switch {
+		case e.State() == endpoint.Suspect:
+			step, c.Why = 3, "suspect: only when no ready endpoint is left"
+		case k.Ejected(now):
+			step, c.Why = 2, "ejected after failures in a row"
+		case k.Held(now):
+			step, c.Why = 1, "refused a call just now"
+		case k.Outstanding() >= m.Slots():
+			step, c.Why = 1, "all slots are in use"
+		}
+		c.rank = step*int(snapshot.Tiers) + int(m.Tier())
+		cs = append(cs, c)
+	}
+	return cs
+}
--- /dev/null
+++ b/mesh/admitter/registry.go
@@ -0,0 +1,43 @@
+package admitter
+
+import (
+	"maps"
+	"sync/atomic"
+)
+
+// registry is a map that is read without a lock and copied for each new key; its keys come from the configuration.
+type registry[K comparable, V any] struct {
+	current atomic.Pointer[map[K]*V]
+}
+
+// get returns the key's value, which is new and zero at the first use.
+func (r *registry[K, V]) get(key K) *V {
+	var added *V
+	for {
+		old := r.current.Load()
+		var next map[K]*V
+		if old != nil {
+			if v := (*old)[key]; v != nil {
+				return v
+			}
+			next = maps.Clone(*old)
+		} else {
+			next = map[K]*V{}
+		}
+		if added == nil {
+			added = new(V)
+		}
+		next[key] = added
+		if r.current.CompareAndSwap(old, &next) {
+			return added
+		}
+	}
+}
+
+// all returns the present map, which must not be changed.
+func (r *registry[K, V]) all() map[K]*V {
+	if m := r.current.Load(); m != nil {
+		return *m
+	}
+	return nil
+}
--- a/mesh/dispatcher/client.go
+++ b/mesh/dispatcher/client.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"wisteriaspoke.example/mesh/answer"
@@ -57,7 +58,13 @@
 func newClient(address string, slots int) client {
 	dialer := net.Dialer{Timeout: dialLimit}
 	return client{address: address, transport: &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			n, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &counted{Conn: n}, nil
+		},
 		DisableCompression:     true,
 		MaxIdleConns:           max(1, slots),
 		MaxIdleConnsPerHost:    max(1, slots),
@@ -68,29 +75,68 @@
 
 func (c client) close() { c.transport.CloseIdleConnections() }
 
-// do sends the call and returns the whole response. An error is *unsent only if no connection was obtained.
+// counted is a connection that counts the attempts to write to it.
+type counted struct {
+	net.Conn
+	writes atomic.Int64
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(b)
+}
+
+// do sends the call and returns the whole response. An error is *unsent only if no byte of the call was sent.
 func (c client) do(ctx context.Context, l call.Call) (answer.Fields, error) {
-	var connected bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	for {
+		f, reused, err := c.try(ctx, l)
+		var u *unsent
+		if reused && errors.As(err, &u) {
+			// The upstream closed an idle connection, which says nothing about a new one.
+			continue
+		}
+		return f, err
+	}
+}
+
+func (c client) try(ctx context.Context, l call.Call) (f answer.Fields, reused bool, err error) {
+	var conn *counted
+	var before int64
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		reused = i.Reused
+		if conn, _ = i.Conn.(*counted); conn != nil {
+			before = conn.writes.Load()
+		}
+	}})
 	r, err := c.request(ctx, l)
 	if err != nil {
-		return answer.Fields{}, &unsent{cause: err}
+		return f, false, &unsent{cause: err}
 	}
 	p, err := c.transport.RoundTrip(r)
-	if err != nil {
-		if !connected {
-			return answer.Fields{}, &unsent{cause: err}
+	if err == nil {
+		f, err = whole(p, l.Method())
+		return f, reused, err
+	}
+	if conn != nil {
+		// A write that has not begun before this fails, so the count is final.
+		conn.Close()
+		if conn.writes.Load() != before {
+			return f, reused, err
 		}
-		return answer.Fields{}, err
 	}
+	return f, reused, &unsent{cause: err}
+}
+
+// whole returns the response with its whole body.
+func whole(p *http.Response, method string) (answer.Fields, error) {
 	defer p.Body.Close()
-	body, err := read(p, l.Method())
+	body, err := read(p, method)
 	if err != nil {
 		return answer.Fields{}, err
 	}
 	f := answer.Fields{Status: p.StatusCode, Body: body, Retried: p.Header.Get(headerRetried) != ""}
 	for n, vs := range p.Header {
-		if strings.HasPrefix(n, headerPrefix) || connectionOnly(p.Header, n) {
+		if strings.HasPrefix(n, headerPrefix) || connectionOnly(p.Header, n) || (n == "Content-Length" && method != http.MethodHead) {
 			continue
 		}
 		for _, v := range vs {
@@ -152,9 +198,9 @@
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// connectionOnly reports whether a header is meant for the connection alone; Content-Length is set anew.
+// connectionOnly reports whether a header is meant for the connection alone.
 func connectionOnly(h http.Header, name string) bool {
-	if name == "Content-Length" || slices.Contains(connectionHeaders, name) {
+	if slices.Contains(connectionHeaders, name) {
 		return true
 	}
 	for _, v := range h["Connection"] {
--- a/mesh/dispatcher/dispatcher.go
+++ b/mesh/dispatcher/dispatcher.go
@@ -8,7 +8,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"wisteriaspoke.example/mesh/answer"
@@ -59,10 +59,12 @@
 	limiter  *limiter.Limiter
 	client   client
 	address  string
-	state    atomic.Pointer[endpoint.State]
+	origin   netip.Addr
+	// mutex keeps the injected states in the order of their changes; calls do not use it.
+	mutex sync.Mutex
+	state endpoint.State
 	// suspected asks the watcher for a check before its next tick.
 	suspected chan struct{}
-	watched   chan struct{} // closed when the watcher has ended
 }
 
 // Check returns every bad setting with its remedy.
@@ -120,12 +122,12 @@
 	if d.address, err = address(d.Upstream); err != nil {
 		return err
 	}
+	d.origin = netip.MustParseAddrPort(d.address).Addr()
 	d.service = c.Service
 	d.version = c.Version
 	d.limiter = limiter.New(c.Slots)
 	d.client = newClient(d.address, c.Slots)
 	d.suspected = make(chan struct{}, 1)
-	d.watched = make(chan struct{})
 	return nil
 }
 
@@ -164,6 +166,9 @@
 	d.suspect()
 	var u *unsent
 	if errors.As(err, &u) {
+		if ctx.Err() != nil {
+			return d.refuse(http.StatusServiceUnavailable, string(limiter.Late))
+		}
 		return d.refuse(http.StatusServiceUnavailable, reasonDown)
 	}
 	f := answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: reasonLost}
@@ -190,6 +195,9 @@
 	return answer.New(f)
 }
 
+// Local reports whether a caller at the address is on the host of the local upstream.
+func (d *Dispatcher) Local(a netip.Addr) bool { return d.origin.IsValid() && d.origin == a.Unmap() }
+
 // Leave announces that the upstream is leaving and refuses new calls from now on.
 func (d *Dispatcher) Leave() {
 	if d.limiter == nil {
--- a/mesh/dispatcher/watch.go
+++ b/mesh/dispatcher/watch.go
@@ -14,15 +14,14 @@
 const (
 	// interval is the time between two checks of the upstream.
 	interval = 500 * time.Millisecond
-	// patience bounds a check's dial. A full accept queue makes it time out, so a single time-out is not a loss.
-	patience = 400 * time.Millisecond
-	// silent is the number of checks in a row without an answer after which the upstream counts as lost.
-	silent = 3
+	// checkLimit bounds a check's dial. A full accept queue makes it time out, so a single time-out is not a loss.
+	checkLimit = 400 * time.Millisecond
+	// maxMissed is the number of checks in a row without an answer after which the upstream counts as lost.
+	maxMissed = 3
 )
 
 // watch checks the upstream until ctx ends.
 func (d *Dispatcher) watch(ctx context.Context) error {
-	defer close(d.watched)
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	d.become(endpoint.Starting)
@@ -45,7 +44,7 @@
 	case err == nil:
 		d.become(endpoint.Ready)
 		return 0
-	case refused(err) || missed+1 >= silent:
+	case refused(err) || missed+1 >= maxMissed:
 		d.become(endpoint.Starting)
 	}
 	return missed + 1
@@ -61,22 +60,19 @@
 
 // become injects the state if it is new. Leaving is final.
 func (d *Dispatcher) become(s endpoint.State) {
-	for {
-		old := d.state.Load()
-		if old != nil && (*old == s || *old == endpoint.Leaving) {
-			return
-		}
-		if d.state.CompareAndSwap(old, &s) {
-			break
-		}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if d.state == s || d.state == endpoint.Leaving {
+		return
 	}
+	d.state = s
 	d.log.Info("upstream state", "state", s, "upstream", d.address)
 	d.injector.Inject(event.NewLocal(event.Upstream, s))
 }
 
 // connect dials the upstream and closes the connection.
 func (d *Dispatcher) connect() error {
-	c, err := net.DialTimeout("tcp", d.address, patience)
+	c, err := net.DialTimeout("tcp", d.address, checkLimit)
 	if err != nil {
 		return err
 	}
