--- a/mesh/balancer/balancer.go
+++ b/mesh/balancer/balancer.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// probes bounds the endpoints looked at for one candidate, so that the cost does not grow with their number. A
-	// tier in which half of the endpoints are busy is given up wrongly in 1 of 256 cases.
+	// tries and probes bound the endpoints looked at for one candidate, at random and in a row, so that the cost
+	// does not grow with their number. A tier in which half of the endpoints are busy, spread at random, is given up
+	// wrongly in 1 of 4,096 cases.
+	tries  = 4
 	probes = 8
 	// warmup is the time over which a new endpoint's weight grows to that of the others.
 	warmup = 10 * time.Second
@@ -76,13 +78,19 @@
 	return b
 }
 
-// draw returns the first usable endpoint from a random place on. A cold one is passed over with a probability that
-// falls as it warms up, but is taken if no other is found.
+// draw returns a random usable endpoint. A cold one is passed over with a probability that falls as it warms up, but
+// is taken if no other is found.
+//
+// It tries random places first: going on from one place would give the neighbours of unusable endpoints more calls.
+// Then it looks at places in a row, which finds the only usable endpoint of a small tier.
 func draw(ms []*snapshot.Member, other *snapshot.Member, r rules, random func(int) int, now time.Time, exclude []*snapshot.Member) *snapshot.Member {
-	start := random(len(ms))
 	var cold *snapshot.Member
-	for i := range min(probes, len(ms)) {
-		m := ms[(start+i)%len(ms)]
+	start := 0
+	for i := range tries + min(probes, len(ms)) {
+		if i <= tries {
+			start = random(len(ms))
+		}
+		m := ms[(start+max(0, i-tries))%len(ms)]
 		if m == other || !r.allow(m, now) || slices.Contains(exclude, m) {
 			continue
 		}
