--- a/mesh/admitter/admitter.go
+++ b/mesh/admitter/admitter.go
@@ -34,14 +34,14 @@
 	Config() machine.Config
 }
 
-// publisher has the state that routes calls.
-type publisher interface {
+// source has the state that routes calls.
+type source interface {
 	// Snapshot returns the state in force, or nil before the first configuration.
 	Snapshot() *snapshot.Snapshot
 }
 
-// dispatcher runs calls on the local upstream.
-type dispatcher interface {
+// executor runs calls on the local upstream.
+type executor interface {
 	// Serve runs the call or refuses it; only Ran "no" proves that the upstream got no byte of it.
 	Serve(ctx context.Context, c call.Call) answer.Answer
 	// Local reports whether a caller at the address is on the host of the local upstream.
@@ -66,13 +66,13 @@
 type Admitter struct {
 	Calls string `help:"IP address and port where this node takes calls over HTTP." placeholder:"IP:PORT" env:"WISTERIASPOKE_CALLS"`
 
-	log        *slog.Logger
-	node       string
-	publisher  publisher
-	dispatcher dispatcher
-	linker     linker
-	injector   injector
-	random     func(int) int
+	log      *slog.Logger
+	node     string
+	source   source
+	executor executor
+	linker   linker
+	injector injector
+	random   func(int) int
 
 	server   *http.Server
 	leaving  atomic.Bool
@@ -116,10 +116,10 @@
 		return err
 	}
 	a.node = s.Config().Node
-	if a.publisher, err = kernel.Need[publisher](k); err != nil {
+	if a.source, err = kernel.Need[source](k); err != nil {
 		return err
 	}
-	if a.dispatcher, err = kernel.Need[dispatcher](k); err != nil {
+	if a.executor, err = kernel.Need[executor](k); err != nil {
 		return err
 	}
 	if a.linker, err = kernel.Need[linker](k); err != nil {
@@ -180,7 +180,7 @@
 // Drain lets the local upstream leave first, refuses new calls from outside and waits for those in flight. Calls of
 // the local upstream go on, as the calls that it is finishing may need them.
 func (a *Admitter) Drain(ctx context.Context) error {
-	a.dispatcher.Leave()
+	a.executor.Leave()
 	a.leaving.Store(true)
 	defer a.flush()
 	for {
--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -52,7 +52,7 @@
 // Do routes the call and brings it to its end: a whole response, or a refusal or failure that says whether it may have
 // run. The fields' route and what follows from it are set here; Left is the caller's limit in milliseconds, or zero.
 func (a *Admitter) Do(ctx context.Context, f call.Fields, header func(name string) string) answer.Answer {
-	s := a.publisher.Snapshot()
+	s := a.source.Snapshot()
 	if s == nil {
 		return a.refuse(http.StatusServiceUnavailable, reasonStarting)
 	}
@@ -71,7 +71,7 @@
 	f.Class = r.Class()
 	f.Idempotent = r.Idempotent(f.Method)
 	n := a.attempts(ctx, s, f, start.Add(limit))
-	a.meter.calls.get(group{tenant: f.Tenant, class: f.Class}).add(time.Since(start))
+	a.meter.calls.get(population{tenant: f.Tenant, class: f.Class}).add(time.Since(start))
 	if n.Ran() == answer.No {
 		a.meter.refusals.get(n.Reason()).Add(1)
 	}
@@ -186,7 +186,7 @@
 
 func (a *Admitter) send(ctx context.Context, address string, c call.Call) answer.Answer {
 	if address == a.node {
-		return a.dispatcher.Serve(ctx, c)
+		return a.executor.Serve(ctx, c)
 	}
 	n, err := a.linker.Call(ctx, address, c)
 	switch {
--- a/mesh/admitter/explain.go
+++ b/mesh/admitter/explain.go
@@ -50,7 +50,7 @@
 
 // Explain returns what would happen to a call now, without sending one.
 func (a *Admitter) Explain(method, host, path string, header func(name string) string) Explanation {
-	s := a.publisher.Snapshot()
+	s := a.source.Snapshot()
 	if s == nil {
 		return Explanation{Why: "no configuration is in force on this node"}
 	}
--- a/mesh/admitter/handle.go
+++ b/mesh/admitter/handle.go
@@ -73,7 +73,7 @@
 
 func (a *Admitter) local(r *http.Request) bool {
 	p, err := netip.ParseAddrPort(r.RemoteAddr)
-	return err == nil && a.dispatcher.Local(p.Addr())
+	return err == nil && a.executor.Local(p.Addr())
 }
 
 // bodyBound returns how many bytes the request's body may take.
--- a/mesh/admitter/meter.go
+++ b/mesh/admitter/meter.go
@@ -10,11 +10,12 @@
 
 // meter holds the figures of this node's calls for operators.
 type meter struct {
-	calls    registry[group, Histogram]
+	calls    registry[population, Histogram]
 	refusals registry[string, atomic.Uint64]
 }
 
-type group struct {
+// population is the calls that share a histogram.
+type population struct {
 	tenant string
 	class  route.Class
 }
