--- a/mesh/admitter/bounds.go
+++ b/mesh/admitter/bounds.go
@@ -80,19 +80,23 @@
 	}
 }
 
-// refuse reads what the caller has sent before it closes; otherwise the reset could overtake the refusal.
+// refuse writes the refusal once the caller has begun to send, as clients drop a response that comes before their
+// request. It reads what follows before it closes; otherwise the reset could overtake the refusal.
 func refuse(c net.Conn) {
 	defer c.Close()
 	if err := c.SetDeadline(time.Now().Add(refusalLimit)); err != nil {
 		return
 	}
+	var b [512]byte
+	if _, err := c.Read(b[:]); err != nil {
+		return
+	}
 	if _, err := c.Write([]byte(refusal)); err != nil {
 		return
 	}
 	if t, ok := c.(*net.TCPConn); ok {
 		t.CloseWrite()
 	}
-	var b [512]byte
 	for {
 		if _, err := c.Read(b[:]); err != nil {
 			return
--- a/mesh/limiter/gradient.go
+++ b/mesh/limiter/gradient.go
@@ -27,12 +27,13 @@
 //
 // Latency of a window that did not use the limit says nothing about it, so such a window does not shrink it.
 func (g gradient) next(mean time.Duration, peak, slots int) gradient {
+	mean = max(1, mean) // a best of zero stands for none
 	best := g.best + g.best/drift
 	if g.best == 0 || mean < best {
 		best = mean
 	}
 	n := gradient{limit: g.limit, best: best}
-	permille := int(1000 * tolerance * best / max(1, mean))
+	permille := int(1000 * tolerance * best / mean)
 	if permille < 1000 && 2*peak < g.limit {
 		return n
 	}
--- /dev/null
+++ b/mesh/limiter/limiter_test.go
@@ -0,0 +1,237 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"wisteriaspoke.example/mesh/route"
+)
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func read(t *testing.T, file string, v any) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(data, v); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestQueue guards against a wrong order, a wrong refusal, and a place given to the wrong call.
+func TestQueue(t *testing.T) {
+	var cases []struct {
+		Name                 string
+		Size, Limit, Service int
+		Steps                []struct {
+			At, Pop, Deadline    int
+			Push, Remove, Tenant string
+			Class                route.Class
+		}
+	}
+	read(t, "testdata/queue.json", &cases)
+	var out strings.Builder
+	for i, c := range cases {
+		fmt.Fprintf(&out, "%d. %s\n", i+1, c.Name)
+		q := queue{size: c.Size}
+		named := map[string]*ticket{}
+		name := func(t *ticket) string {
+			for n, k := range named {
+				if k == t {
+					return n
+				}
+			}
+			return "none"
+		}
+		for _, s := range c.Steps {
+			switch {
+			case s.Push != "":
+				k := &ticket{tenant: s.Tenant, class: s.Class, deadline: at(s.Deadline)}
+				if s.Deadline == 0 {
+					k.deadline = at(100_000)
+				}
+				named[s.Push] = k
+				displaced, refusal := q.push(k, at(s.At), time.Duration(c.Service)*time.Millisecond, c.Limit)
+				fmt.Fprintf(&out, "  push %s %s: %q", s.Push, s.Tenant, refusal)
+				if displaced != nil {
+					fmt.Fprintf(&out, " displaces %s", name(displaced))
+				}
+			case s.Remove != "":
+				fmt.Fprintf(&out, "  remove %s: %v", s.Remove, q.remove(named[s.Remove]))
+			default:
+				fmt.Fprintf(&out, "  pop")
+				for range s.Pop {
+					next, late := q.pop(at(s.At))
+					for _, k := range late {
+						fmt.Fprintf(&out, " late:%s", name(k))
+					}
+					fmt.Fprintf(&out, " %s", name(next))
+				}
+			}
+			fmt.Fprintf(&out, " (%d waiting)\n", q.length)
+		}
+	}
+	golden(t, "queue", out.String())
+}
+
+// TestGradient guards against a limit that does not follow the latency, or that gets stuck.
+func TestGradient(t *testing.T) {
+	var cases []struct {
+		Name    string
+		Slots   int
+		Windows []struct{ Mean, Peak, N int }
+	}
+	read(t, "testdata/gradient.json", &cases)
+	var out strings.Builder
+	for i, c := range cases {
+		fmt.Fprintf(&out, "%d. %s\n", i+1, c.Name)
+		g := gradient{limit: c.Slots}
+		for _, w := range c.Windows {
+			fmt.Fprintf(&out, "  mean %d ms, peak %d:", w.Mean, w.Peak)
+			for range max(1, w.N) {
+				g = g.next(time.Duration(w.Mean)*time.Millisecond, w.Peak, c.Slots)
+				fmt.Fprintf(&out, " %d", g.limit)
+				if g.limit < 1 || g.limit > c.Slots {
+					t.Errorf("%s: the limit is %d", c.Name, g.limit)
+				}
+			}
+			out.WriteString("\n")
+		}
+	}
+	golden(t, "gradient", out.String())
+}
+
+// load is the arrivals of one tenant and class, one in each interval.
+type load struct {
+	tenant   string
+	class    route.Class
+	interval time.Duration
+	served   int
+	refused  map[Refusal]int
+}
+
+// offer sends the loads to a limiter of 12 slots with calls of 60 ms, in virtual time, for 10 s; its capacity is 200
+// calls a second.
+func offer(t *testing.T, loads ...*load) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New(12)
+		var group sync.WaitGroup
+		var mutex sync.Mutex
+		var most atomic.Int32
+		end := time.Now().Add(10 * time.Second)
+		for _, o := range loads {
+			o.refused = map[Refusal]int{}
+			group.Go(func() {
+				for ; time.Now().Before(end); time.Sleep(o.interval) {
+					group.Go(func() {
+						r := l.Enter(context.Background(), Request{Tenant: o.tenant, Class: o.class, Deadline: time.Now().Add(300 * time.Millisecond)})
+						if r == "" {
+							most.Store(max(most.Load(), l.running.Load()))
+							time.Sleep(60 * time.Millisecond)
+							l.Exit(60 * time.Millisecond)
+						}
+						mutex.Lock()
+						defer mutex.Unlock()
+						if r == "" {
+							o.served++
+						} else {
+							o.refused[r]++
+						}
+					})
+				}
+			})
+		}
+		group.Wait()
+		if l.Outstanding() != 0 || l.queue.length != 0 {
+			t.Errorf("%d calls are left, %d in the queue", l.Outstanding(), l.queue.length)
+		}
+		if most.Load() > 12 {
+			t.Errorf("%d calls ran at once", most.Load())
+		}
+	})
+}
+
+func (o *load) offered() int {
+	n := o.served
+	for _, r := range o.refused {
+		n += r
+	}
+	return n
+}
+
+// TestOverload guards against calls of the high class that are lost at twice the capacity, and against slots that
+// stay empty meanwhile.
+func TestOverload(t *testing.T) {
+	high := &load{tenant: "a", class: route.High, interval: 10 * time.Millisecond}
+	normal := &load{tenant: "a", class: route.Normal, interval: time.Second / 300}
+	offer(t, high, normal)
+	t.Logf("high %d of %d, normal %d of %d", high.served, high.offered(), normal.served, normal.offered())
+	if high.served != high.offered() {
+		t.Errorf("%v of %d high calls are refused", high.refused, high.offered())
+	}
+	if n := high.served + normal.served; n < 1950 {
+		t.Errorf("%d calls were served, the capacity is 2,000", n)
+	}
+}
+
+// TestFairness guards against a tenant that gets nothing while another one floods the endpoint.
+func TestFairness(t *testing.T) {
+	flood := &load{tenant: "a", class: route.Normal, interval: time.Millisecond}
+	other := &load{tenant: "b", class: route.Normal, interval: 20 * time.Millisecond}
+	offer(t, flood, other)
+	t.Logf("flood %d of %d, other %d of %d", flood.served, flood.offered(), other.served, other.offered())
+	if other.served != other.offered() {
+		t.Errorf("%v of %d calls of the quiet tenant are refused", other.refused, other.offered())
+	}
+}
+
+// TestSlots guards against a slot lost or used twice when calls end, wait and give up at the same time.
+func TestSlots(t *testing.T) {
+	l := New(3)
+	var running, most atomic.Int32
+	var group sync.WaitGroup
+	for i := range 16 {
+		group.Go(func() {
+			for k := range 300 {
+				ctx, cancel := context.WithCancel(context.Background())
+				if (i+k)%3 == 0 {
+					go cancel()
+				}
+				c := route.Normal
+				if k%2 == 0 {
+					c = route.High
+				}
+				r := l.Enter(ctx, Request{Tenant: fmt.Sprint(i % 4), Class: c, Deadline: time.Now().Add(time.Minute)})
+				if r == "" {
+					n := running.Add(1)
+					for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+					}
+					running.Add(-1)
+					l.Exit(time.Microsecond)
+				}
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	if most.Load() > 3 {
+		t.Errorf("%d calls ran at once", most.Load())
+	}
+	if l.running.Load() != 0 || l.waiting.Load() != 0 || l.queue.length != 0 {
+		t.Errorf("%d run, %d wait, %d in the queue", l.running.Load(), l.waiting.Load(), l.queue.length)
+	}
+	l.Leave()
+	<-l.Idle()
+}
