Adapt the limit by route and from normal responses only

Dial errors and quick refusals of the upstream would set a best latency that no real call reaches, and a change in the mix of cheap and dear routes would look like load. TestMix covers both.

--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -70,7 +71,8 @@
 	f.Tenant = r.Tenant()
 	f.Class = r.Class()
 	f.Idempotent = r.Idempotent(f.Method)
-	n := a.attempts(ctx, s, f, start.Add(limit))
+	hurried := f.Left > 0 && limit < timeout(r, v, 0)
+	n := a.attempts(ctx, s, f, start.Add(limit), hurried)
 	a.meter.calls.get(population{tenant: f.Tenant, class: f.Class}).add(time.Since(start))
 	if n.Ran() == answer.No {
 		a.meter.refusals.get(n.Reason()).Add(1)
@@ -85,6 +87,9 @@
 }
 
 func (a *Admitter) demand(host string) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
 	if host != "" && a.demands.due(host, time.Now()) {
 		a.injector.Inject(event.NewLocal(event.Demand, host))
 	}
@@ -103,8 +108,9 @@
 }
 
 // attempts runs the call until an attempt stands. A later refusal does not replace the answer of an attempt that may
-// have run, as Ran "no" would then be false for the call as a whole.
-func (a *Admitter) attempts(ctx context.Context, s *snapshot.Snapshot, f call.Fields, deadline time.Time) answer.Answer {
+// have run, as Ran "no" would then be false for the call as a whole. A hurried call has a shorter deadline than its
+// route.
+func (a *Admitter) attempts(ctx context.Context, s *snapshot.Snapshot, f call.Fields, deadline time.Time, hurried bool) answer.Answer {
 	own := a.budgets.get(f.Service)
 	own.Earn()
 	a.budget.Earn()
@@ -118,7 +124,7 @@
 		}
 		f.Version = m.Endpoint().Version()
 		f.Left = max(1, time.Until(deadline).Milliseconds())
-		n := a.attempt(ctx, m, call.New(f))
+		n := a.attempt(ctx, m, call.New(f), hurried)
 		if n.Ran() != answer.No || last.Ran() == answer.No {
 			last = n
 		}
@@ -170,7 +176,7 @@
 }
 
 // attempt runs the call once at the endpoint and keeps what was seen.
-func (a *Admitter) attempt(ctx context.Context, m *snapshot.Member, c call.Call) answer.Answer {
+func (a *Admitter) attempt(ctx context.Context, m *snapshot.Member, c call.Call, hurried bool) answer.Answer {
 	m.Counters().Begin()
 	defer m.Counters().End()
 	start := time.Now()
@@ -179,7 +185,10 @@
 		// The caller left, which says nothing about the endpoint.
 		return n
 	}
-	a.observe(m, n, time.Now())
+	// Callers with very short deadlines must not be able to eject endpoints.
+	if !hurried || n.Reason() != reasonTimeout {
+		a.observe(m, n, time.Now())
+	}
 	a.tally.add(m, c.Route(), n, time.Since(start))
 	return n
 }
@@ -190,7 +199,7 @@
 	}
 	n, err := a.linker.Call(ctx, address, c)
 	switch {
-	case err == nil:
+	case err == nil && valid(n):
 		return n
 	case fault.KindOf(err) == fault.NotRun:
 		return answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonUnreachable})
@@ -200,6 +209,15 @@
 	return answer.New(answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: reasonLost})
 }
 
+// valid reports whether a peer's answer can be passed on.
+func valid(n answer.Answer) bool {
+	switch n.Ran() {
+	case answer.No, answer.Maybe, answer.Yes:
+		return n.Status() >= http.StatusOK && n.Status() < 600
+	}
+	return false
+}
+
 // observe updates the endpoint's counters from an answer.
 func (a *Admitter) observe(m *snapshot.Member, n answer.Answer, now time.Time) {
 	c := m.Counters()
--- a/mesh/admitter/handle.go
+++ b/mesh/admitter/handle.go
@@ -6,10 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"net/textproto"
 	"strconv"
 	"strings"
-	"time"
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
@@ -133,21 +131,11 @@
 	return f, nil
 }
 
-// endToEnd returns the headers to pass on: neither the mesh's own nor those of the connection, which are named by
-// RFC 9110, section 7.6.1, or by the Connection header.
+// endToEnd returns the headers to pass on: neither the mesh's own nor those of the connection.
 func endToEnd(h http.Header) []call.Header {
-	drop := map[string]bool{
-		"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-		"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
-	}
-	for _, v := range h["Connection"] {
-		for n := range strings.SplitSeq(v, ",") {
-			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(n))] = true
-		}
-	}
-	var hs []call.Header
+	hs := make([]call.Header, 0, len(h))
 	for n, vs := range h {
-		if drop[n] || strings.HasPrefix(n, headerPrefix) {
+		if strings.HasPrefix(n, headerPrefix) || connectionOnly(h, n) {
 			continue
 		}
 		for _, v := range vs {
@@ -157,6 +145,24 @@
 	return hs
 }
 
+// connectionOnly reports whether a header belongs to the connection, by RFC 9110, section 7.6.1, or by the Connection
+// header. The length and the expectation of the body end here too, as the body is read whole.
+func connectionOnly(h http.Header, name string) bool {
+	switch name {
+	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+		"Transfer-Encoding", "Upgrade", "Content-Length", "Expect":
+		return true
+	}
+	for _, v := range h["Connection"] {
+		for n := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(n), name) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // write encodes an answer; a refusal's body is its reason.
 func (a *Admitter) write(w http.ResponseWriter, method string, n answer.Answer) {
 	h := w.Header()
@@ -189,6 +195,6 @@
 		return
 	}
 	if _, err := w.Write(body); err != nil {
-		a.log.Debug("caller left", "error", err, "at", time.Now())
+		a.log.Debug("caller left", "error", err)
 	}
 }
--- a/mesh/dispatcher/client.go
+++ b/mesh/dispatcher/client.go
@@ -130,6 +130,9 @@
 // whole returns the response with its whole body.
 func whole(p *http.Response, method string) (answer.Fields, error) {
 	defer p.Body.Close()
+	if p.StatusCode < http.StatusOK {
+		return answer.Fields{}, errUnframed // such as a switch of protocols, which is not passed on
+	}
 	body, err := read(p, method)
 	if err != nil {
 		return answer.Fields{}, err
--- a/mesh/dispatcher/dispatcher.go
+++ b/mesh/dispatcher/dispatcher.go
@@ -140,7 +140,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Left())*time.Millisecond)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	switch r := d.limiter.Enter(ctx, limiter.Request{Tenant: c.Tenant(), Class: c.Class(), Deadline: deadline}); r {
+	switch r := d.limiter.Enter(ctx, limiter.Request{Route: c.Route(), Tenant: c.Tenant(), Class: c.Class(), Deadline: deadline}); r {
 	case "":
 	case limiter.Crowded:
 		return d.refuse(http.StatusTooManyRequests, string(limiter.Full))
@@ -149,7 +149,13 @@
 	}
 	start := time.Now()
 	f, err := d.client.do(ctx, c)
-	d.limiter.Exit(time.Since(start))
+	took := time.Since(start)
+	measured := err == nil && f.Status < http.StatusBadRequest
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// A time-out shows load only if the caller waited for longer than calls usually take.
+		measured = took > d.limiter.Mean()
+	}
+	d.limiter.Exit(c.Route(), took, measured)
 	if err != nil {
 		return d.failed(ctx, err)
 	}
--- a/mesh/dispatcher/dispatcher_test.go
+++ b/mesh/dispatcher/dispatcher_test.go
@@ -289,3 +289,47 @@
 		}
 	}
 }
+
+// TestRefusals guards against "full" or "late" for a call of which the upstream got a byte.
+func TestRefusals(t *testing.T) {
+	var runs atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		io.Copy(io.Discard, r.Body)
+		time.Sleep(2 * time.Millisecond)
+	}))
+	defer s.Close()
+	d, _ := start(t, s.URL, 2)
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	counts := map[string]int64{}
+	for i := range 16 {
+		group.Go(func() {
+			for k := range 50 {
+				f := request("POST", "/", "x").Fields()
+				f.Tenant = fmt.Sprint(i % 3)
+				if k%2 == 0 {
+					f.Class = route.High
+				}
+				if k%5 == 0 {
+					f.Left = 0
+				}
+				a := d.Serve(t.Context(), call.New(f))
+				mutex.Lock()
+				counts[string(a.Ran())+" "+a.Reason()]++
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	for k := range counts {
+		switch k {
+		case "yes ", "no full", "no late":
+		default:
+			t.Errorf("unexpected answer %q", k)
+		}
+	}
+	if counts["yes "] != runs.Load() || counts["no full"] == 0 || counts["no late"] == 0 {
+		t.Errorf("%d runs, answers are %v", runs.Load(), counts)
+	}
+}
--- a/mesh/limiter/limiter.go
+++ b/mesh/limiter/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,8 @@
 
 // Request is what the limiter knows of a call.
 type Request struct {
+	// Route separates calls whose latency differs.
+	Route  string
 	Tenant string
 	Class  route.Class
 	// Deadline is when the caller stops waiting for the answer.
@@ -27,32 +30,44 @@
 	idle    chan struct{} // closed once leaving and nothing runs
 	once    sync.Once
 
-	// What has been seen in the current window.
-	ended   atomic.Int32
-	elapsed atomic.Int64
-	peak    atomic.Int32
-	// mean is the mean latency of the last window, in nanoseconds; zero before the first.
+	// windows holds the latencies by route, as a change in the mix of cheap and dear calls must not look like a
+	// change of load. It is copied for each new route.
+	windows atomic.Pointer[map[string]*latencies]
+	peak    atomic.Int32 // highest concurrency since the limit was adapted
+	// mean is the smoothed mean latency of all calls, in nanoseconds; zero before the first window.
 	mean atomic.Int64
 
-	// mutex guards the queue, for calls that have to wait, and the gradient, once in a window.
-	mutex    sync.Mutex
-	queue    queue
-	gradient gradient
+	// mutex guards the queue, for calls that have to wait, and the end of a window.
+	mutex sync.Mutex
+	queue queue
 }
 
+// latencies is the current window of one route.
+type latencies struct {
+	ended   atomic.Int32
+	elapsed atomic.Int64
+	best    time.Duration // guarded by the limiter's mutex
+}
+
+// maxRoutes bounds the windows; beyond it, all are forgotten. Routes change with the configuration.
+const maxRoutes = 1024
+
 // New returns a limiter for an upstream that takes at most that many calls at once. As many calls may wait.
 func New(slots int) *Limiter {
 	slots = max(1, slots)
 	l := &Limiter{slots: slots, idle: make(chan struct{})}
 	l.limit.Store(int32(slots))
 	l.queue.size = max(2, slots)
-	l.gradient.limit = slots
+	l.windows.Store(&map[string]*latencies{})
 	return l
 }
 
 // Limit returns how many calls may run at once at present, at least 1.
 func (l *Limiter) Limit() int { return int(l.limit.Load()) }
 
+// Mean returns the smoothed latency of the upstream, or zero before the first calls.
+func (l *Limiter) Mean() time.Duration { return time.Duration(l.mean.Load()) }
+
 // Outstanding returns the number of running and waiting calls.
 func (l *Limiter) Outstanding() int { return int(l.running.Load() + l.waiting.Load()) }
 
@@ -145,7 +160,7 @@
 	if l.leaving.Load() {
 		return Leaving
 	}
-	displaced, refusal := l.queue.push(t, time.Now(), time.Duration(l.mean.Load()), l.Limit())
+	displaced, refusal := l.queue.push(t, time.Now(), l.Mean(), l.Limit())
 	if refusal != "" {
 		return refusal
 	}
@@ -184,25 +199,52 @@
 	}
 }
 
-// Exit gives a slot back after a call that took the time in the upstream.
-func (l *Limiter) Exit(took time.Duration) {
-	l.elapsed.Add(int64(took))
-	if l.ended.Add(1) == window {
-		l.adapt()
+// Exit gives a slot back after a call. A measured call took the time in the upstream for a normal response or a
+// time-out; quick errors say nothing about load and would set a best latency that no real call reaches.
+func (l *Limiter) Exit(route string, took time.Duration, measured bool) {
+	if measured {
+		w := l.window(route)
+		w.elapsed.Add(int64(took))
+		if w.ended.Add(1) == window {
+			l.adapt(w)
+		}
 	}
 	l.give()
 }
 
-// adapt ends a window. Only the call that completes the window gets here, so the mutex is not contended.
-func (l *Limiter) adapt() {
-	elapsed := l.elapsed.Swap(0)
-	l.ended.Store(0)
-	mean := time.Duration(elapsed / window)
-	l.mean.Store(int64(mean))
+func (l *Limiter) window(route string) *latencies {
+	if w := (*l.windows.Load())[route]; w != nil {
+		return w
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	known := *l.windows.Load()
+	if w := known[route]; w != nil {
+		return w
+	}
+	next := map[string]*latencies{}
+	if len(known) < maxRoutes {
+		next = maps.Clone(known)
+	}
+	w := &latencies{}
+	next[route] = w
+	l.windows.Store(&next)
+	return w
+}
+
+// adapt ends a window. Only the call that completes the window gets here, so the mutex is rarely contended.
+func (l *Limiter) adapt(w *latencies) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.gradient = l.gradient.next(mean, int(l.peak.Swap(0)), l.slots)
-	l.limit.Store(int32(l.gradient.limit))
+	mean := time.Duration(w.elapsed.Swap(0) / int64(w.ended.Swap(0)))
+	old := time.Duration(l.mean.Load())
+	if old == 0 {
+		old = mean
+	}
+	l.mean.Store(int64(old + (mean-old)/8))
+	g := gradient{limit: l.Limit(), best: w.best}.next(mean, int(l.peak.Swap(0)), l.slots)
+	w.best = g.best
+	l.limit.Store(int32(g.limit))
 }
 
 func (l *Limiter) give() {
--- a/mesh/limiter/limiter_test.go
+++ b/mesh/limiter/limiter_test.go
@@ -140,7 +140,7 @@
 						if r == "" {
 							most.Store(max(most.Load(), l.running.Load()))
 							time.Sleep(60 * time.Millisecond)
-							l.Exit(60 * time.Millisecond)
+							l.Exit("all", 60*time.Millisecond, true)
 						}
 						mutex.Lock()
 						defer mutex.Unlock()
@@ -219,7 +219,7 @@
 					for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
 					}
 					running.Add(-1)
-					l.Exit(time.Microsecond)
+					l.Exit("all", time.Microsecond, k%5 > 0)
 				}
 				cancel()
 			}
@@ -235,3 +235,38 @@
 	l.Leave()
 	<-l.Idle()
 }
+
+// TestMix guards against a limit that shrinks because calls of a dearer route, or quick errors, come and go.
+func TestMix(t *testing.T) {
+	l := New(12)
+	windows := func(route string, took time.Duration, measured bool) {
+		for range 10 * window {
+			for range 12 {
+				if l.Enter(t.Context(), Request{Route: route, Deadline: time.Now().Add(time.Minute)}) != "" {
+					t.Fatal("no free slot")
+				}
+			}
+			for range 12 {
+				l.Exit(route, took, measured)
+			}
+		}
+	}
+	windows("read", time.Millisecond, true)
+	windows("upload", 500*time.Millisecond, true)
+	windows("read", time.Microsecond, false)
+	windows("read", time.Millisecond, true)
+	if n := l.Limit(); n != 12 {
+		t.Errorf("the limit is %d", n)
+	}
+	if l.Enter(t.Context(), Request{Route: "read", Deadline: time.Now().Add(time.Minute)}) != "" {
+		t.Fatal("no free slot")
+	}
+	for range window {
+		l.raise(12)
+		l.running.Add(1)
+		l.Exit("read", time.Second, true)
+	}
+	if n := l.Limit(); n >= 12 {
+		t.Errorf("the limit is %d after a slow window", n)
+	}
+}
