Use a new dispatcher for the refused dial in TestUnsentIsTrue

The test failed in 2 of 10 runs with 502 and Ran "maybe": the call was written to an idle connection whose end had not been seen yet, so the answer was right and the expectation was not. The refused dial is now tested without idle connections; the assertion is unchanged.

--- a/mesh/dispatcher/dispatcher_test.go
+++ b/mesh/dispatcher/dispatcher_test.go
@@ -159,6 +159,7 @@
 	}
 	before := runs.Load()
 	s.Close()
+	d, _ = start(t, s.URL, 4) // without idle connections, on which a call may be sent before their end is seen
 	a := d.Serve(t.Context(), request("POST", "/", "x"))
 	if a.Ran() != answer.No || a.Reason() != reasonDown || a.Status() != 503 {
 		t.Errorf("without an upstream: %d %s %s", a.Status(), a.Ran(), a.Reason())
