Check presets as a whole before they are accepted

encoding/json keeps neither the place of a value nor fields that are set twice, and stops at the first error. The checker walks its own tree of nodes, so that all errors of a file come back together with line, column and remedy.

--- /dev/null
+++ b/mesh/checker/checker_test.go
@@ -0,0 +1,163 @@
+package checker
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/preset"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// golden compares got with a file of testdata.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	file := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
+	}
+}
+
+// render returns the errors, one a line, or the manifest.
+func render(p preset.Preset, err error) string {
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "valid: %s\n", p.Name())
+	for _, name := range slices.Sorted(maps.Keys(p.Parts())) {
+		digest := p.Parts()[name]
+		fmt.Fprintf(&b, "%s %s %s\n", name, digest, p.Contents()[digest])
+	}
+	return b.String()
+}
+
+// Guards against a bad preset that is accepted, and against an error without its place, field or remedy.
+func TestCheck(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no cases", err)
+	}
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".json")
+		t.Run(name, func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			golden(t, name, render(New().Check(data)))
+		})
+	}
+}
+
+// Guards against a preset that the store or the nodes cannot hold.
+func TestLimits(t *testing.T) {
+	data, err := os.ReadFile("testdata/17-valid.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := New()
+	cases := []struct {
+		name    string
+		checker Checker
+	}{
+		{"services", Checker{1, base.Routes, base.Definition, base.Manifest}},
+		{"routes", Checker{base.Services, 1, base.Definition, base.Manifest}},
+		{"definition", Checker{base.Services, base.Routes, 100, base.Manifest}},
+		{"manifest", Checker{base.Services, base.Routes, base.Definition, 20}},
+		{"all", Checker{base.Services, base.Routes, 20, 20}},
+	}
+	var b strings.Builder
+	for _, c := range cases {
+		fmt.Fprintf(&b, "%s: %s", c.name, render(c.checker.Check(data)))
+	}
+	golden(t, "limits", b.String())
+}
+
+// Guards against an answer of megabytes for a wrong file of many services.
+func TestManyProblems(t *testing.T) {
+	data := `{"name": "day", "services": [` + strings.Repeat(`{"name": "A", "version": "1"},`, 130)
+	_, err := New().Check([]byte(strings.TrimSuffix(data, ",") + "]}"))
+	lines := strings.Split(fmt.Sprint(err), "\n")
+	if len(lines) != problemLimit+1 || !strings.HasPrefix(lines[problemLimit], "there are 30 more errors") {
+		t.Errorf("got %d lines, the last %q", len(lines), lines[len(lines)-1])
+	}
+}
+
+// Guards against an example that an operator copies and that is then refused.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*.json")
+	if err != nil || len(files) != 3 {
+		t.Fatalf("examples: %v, %v", files, err)
+	}
+	for _, f := range files {
+		data, err := os.ReadFile(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := New().Check(data)
+		if err != nil {
+			t.Errorf("%s:\n%v", f, err)
+			continue
+		}
+		if want := strings.TrimSuffix(filepath.Base(f), ".json"); p.Name() != want {
+			t.Errorf("%s is named %q", f, p.Name())
+		}
+		critical(t, p)
+	}
+}
+
+// critical fails if a write that must not run twice would be retried or shed early.
+func critical(t *testing.T, p preset.Preset) {
+	t.Helper()
+	words := []string{"confirmation", "upload", "booking", "payment"}
+	for _, s := range p.Services() {
+		for _, r := range s.Routes() {
+			named := slices.ContainsFunc(words, func(w string) bool { return strings.Contains(r.Name(), w) })
+			if named && (r.Class() != "high" || r.Idempotent("POST") || r.Idempotent("PUT")) {
+				t.Errorf("%s: route %s of %s is not of class high and not idempotent", p.Name(), r.Name(), s.Name())
+			}
+		}
+	}
+}
+
+// FuzzCheck guards against a crash on any file, and against an error that is not one of invalid input.
+func FuzzCheck(f *testing.F) {
+	files, _ := filepath.Glob("testdata/*.json")
+	for _, name := range files {
+		data, err := os.ReadFile(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		p, err := New().Check(data)
+		if err != nil {
+			if e := (*fault.Error)(nil); !errors.As(err, &e) || e.Kind() != fault.Invalid || e.Remedy() == "" {
+				t.Fatalf("error without kind or remedy: %v", err)
+			}
+			return
+		}
+		if len(p.Parts()) != len(p.Services()) || len(p.Services()) == 0 {
+			t.Fatalf("accepted %d services as %d parts", len(p.Services()), len(p.Parts()))
+		}
+	})
+}
--- /dev/null
+++ b/mesh/preset/stored.go
@@ -0,0 +1,62 @@
+package preset
+
+import (
+	"encoding/json"
+
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/object"
+)
+
+// Plural is where presets stand in the store.
+const Plural = "presets"
+
+// PartPlural is where the definitions of all presets stand in the store, each under its digest.
+const PartPlural = "parts"
+
+// Stored is one immutable version of a preset's manifest in the store.
+type Stored struct {
+	w wire
+}
+
+type wire struct {
+	Name     string            `json:"name"`
+	Parts    map[string]string `json:"parts"`
+	Revision uint64            `json:"revision"`
+	Writer   string            `json:"writer,omitempty"`
+	Token    string            `json:"token"`
+}
+
+// Decode returns the manifest in a stored object; the zero Stored for an object that does not stand.
+func Decode(o object.Object) (Stored, error) {
+	var s Stored
+	if len(o.Spec()) == 0 {
+		return s, nil
+	}
+	if err := json.Unmarshal(o.Spec(), &s.w); err != nil {
+		return s, fault.Wrap(fault.Invalid, err, "the object presets/"+o.Name()+" is malformed", "apply the preset again")
+	}
+	return s, nil
+}
+
+// Encode returns the manifest's content as JSON.
+func (s Stored) Encode() ([]byte, error) { return json.Marshal(s.w) }
+
+// Next returns the manifest that follows s with the content of p.
+func (s Stored) Next(p Preset, token, writer string) Stored {
+	return Stored{w: wire{Name: p.Name(), Parts: p.Parts(), Revision: s.w.Revision + 1, Writer: writer, Token: token}}
+}
+
+// Name returns the preset's name.
+func (s Stored) Name() string { return s.w.Name }
+
+// Parts returns the digest of each service's definition, which must not be changed.
+func (s Stored) Parts() map[string]string { return s.w.Parts }
+
+// Revision returns how often the preset was applied; zero if it does not stand.
+func (s Stored) Revision() uint64 { return s.w.Revision }
+
+// Writer returns who applied it last.
+func (s Stored) Writer() string { return s.w.Writer }
+
+// Token returns the token of the last write.
+func (s Stored) Token() string { return s.w.Token }
