Write presets, the preset in force and rollout requests conditionally

A write whose answer is lost is resolved by the token that stands in the head or its history. The next attempt after an unchanged revision has the same condition and token, so that a late first attempt and the second have one effect between them. Writes of rollout holders change only shares, which is no conflict for an operator.

--- /dev/null
+++ b/mesh/accepter/apply.go
@@ -0,0 +1,166 @@
+package accepter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"golang.org/x/sync/errgroup"
+
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/object"
+	"wisteriaspoke.example/mesh/preset"
+	"wisteriaspoke.example/mesh/service"
+)
+
+// Apply stores a preset, its parts first, and returns its manifest; the preset in force does not change.
+func (a *Accepter) Apply(ctx context.Context, p preset.Preset, writer string) (preset.Stored, error) {
+	base, err := a.Read(ctx, preset.Plural, p.Name())
+	if err != nil {
+		return preset.Stored{}, err
+	}
+	g, inner := errgroup.WithContext(ctx)
+	g.SetLimit(workers)
+	for digest, content := range p.Contents() {
+		g.Go(func() error { return a.create(inner, digest, content) })
+	}
+	if err := g.Wait(); err != nil {
+		return preset.Stored{}, err
+	}
+	c := &storing{preset: p, token: a.Token(), writer: writer}
+	if err := a.commit(ctx, base, c); err != nil {
+		return preset.Stored{}, err
+	}
+	return c.stored, nil
+}
+
+// create stores a part unless it stands. A part is immutable and named by its content, so that it may be created twice.
+func (a *Accepter) create(ctx context.Context, digest string, content []byte) error {
+	for failed := 0; ; failed++ {
+		o, err := a.Read(ctx, preset.PartPlural, digest)
+		if err != nil {
+			return err
+		}
+		if o.Revision() != "" {
+			return same(o, content)
+		}
+		_, err = a.Store.Create(ctx, object.New(preset.PartPlural, digest, "", content))
+		if err == nil {
+			return nil
+		}
+		if final(err) && fault.KindOf(err) != fault.Conflict {
+			return err
+		}
+		if a.backOff(ctx, failed) != nil {
+			return fault.Wrap(fault.Unavailable, err, "a part of the preset was not stored", "the preset is unchanged; try again later")
+		}
+	}
+}
+
+// same returns an error if the stored part has another content, which a collision of digests would cause.
+func same(o object.Object, content []byte) error {
+	s, err := Part(o)
+	if err != nil {
+		return err
+	}
+	// The store may have changed the order of fields and the spaces.
+	data, err := json.Marshal(s)
+	if err != nil || string(data) != string(content) {
+		return fault.New(fault.Conflict, "parts/"+o.Name()+" has another content under the same digest",
+			"change the service's version or a timeout, which changes the digest")
+	}
+	return nil
+}
+
+// Part returns the definition in a stored part.
+func Part(o object.Object) (service.Service, error) {
+	var s service.Service
+	if o.Revision() == "" {
+		return s, fault.New(fault.NotFound, "parts/"+o.Name()+" does not stand in the store", "apply the preset again")
+	}
+	if err := json.Unmarshal(o.Spec(), &s); err != nil {
+		return s, fault.Wrap(fault.Invalid, err, "parts/"+o.Name()+" is malformed", "delete the object and apply the preset again")
+	}
+	digest, err := s.Digest()
+	if err != nil || digest != o.Name() {
+		return s, fault.New(fault.Invalid, "parts/"+o.Name()+" has the content of "+digest, "delete the object and apply the preset again")
+	}
+	return s, nil
+}
+
+// Parts returns the definitions of a manifest by service, or an error if one of them does not stand.
+func (a *Accepter) Parts(ctx context.Context, parts map[string]string) (map[string]service.Service, error) {
+	type pair struct {
+		name string
+		part service.Service
+	}
+	found := make(chan pair, len(parts))
+	g, inner := errgroup.WithContext(ctx)
+	g.SetLimit(workers)
+	for name, digest := range parts {
+		g.Go(func() error {
+			o, err := a.Read(inner, preset.PartPlural, digest)
+			if err != nil {
+				return err
+			}
+			s, err := Part(o)
+			if err != nil {
+				return fmt.Errorf("service %s: %w", name, err)
+			}
+			found <- pair{name: name, part: s}
+			return nil
+		})
+	}
+	err := g.Wait()
+	close(found)
+	all := make(map[string]service.Service, len(parts))
+	for f := range found {
+		all[f.name] = f.part
+	}
+	return all, err
+}
+
+// storing is the write of a preset's manifest.
+type storing struct {
+	preset preset.Preset
+	token  string
+	writer string
+	stored preset.Stored
+}
+
+func (c *storing) what() string { return fmt.Sprintf("applying preset %q", c.preset.Name()) }
+
+func (c *storing) tell() string {
+	return "wisteriaspoke presets show " + c.preset.Name() + ", which names the token " + c.token + " if it was done"
+}
+
+func (c *storing) build(base object.Object) (object.Object, error) {
+	old, err := preset.Decode(base)
+	if err != nil {
+		return base, err
+	}
+	c.stored = old.Next(c.preset, c.token, c.writer)
+	spec, err := c.stored.Encode()
+	return base.WithSpec(spec), err
+}
+
+func (c *storing) settle(base, now object.Object) (result, error) {
+	old, err := preset.Decode(base)
+	if err != nil {
+		return unclear, err
+	}
+	s, err := preset.Decode(now)
+	if err != nil {
+		return unclear, err
+	}
+	if s.Token() == c.token {
+		return accepted, nil
+	}
+	conflict := fault.New(fault.Conflict, fmt.Sprintf("%s applied preset %q as revision %d at the same time", s.Writer(), s.Name(), s.Revision()),
+		"run wisteriaspoke presets show "+c.preset.Name()+", then apply yours again if it should replace that")
+	// A manifest has no history: a later revision may have replaced this write.
+	if s.Revision() != old.Revision()+1 {
+		return unclear, conflict
+	}
+	return lost, conflict
+}
--- /dev/null
+++ b/mesh/accepter/rollouts.go
@@ -0,0 +1,241 @@
+package accepter
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"wisteriaspoke.example/mesh/checker"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/object"
+	"wisteriaspoke.example/mesh/preset"
+	"wisteriaspoke.example/mesh/rollout"
+)
+
+// shortestRollout is the shortest time to the deadline in which evidence can be gathered.
+const shortestRollout = 30 * time.Second
+
+// The range of a settle time that the request leaves out: a tenth of the time to the deadline within these.
+const (
+	shortestSettle = 3 * time.Second
+	longestSettle  = 5 * time.Minute
+)
+
+// Rollouts writes requests for rollouts; its fields are set before use.
+type Rollouts struct {
+	Accepter *Accepter
+	Now      func() time.Time
+}
+
+// Request is what an operator asks for.
+type Request struct {
+	Service  string
+	Version  string
+	Deadline time.Time
+	Settle   time.Duration // zero for a tenth of the time to the deadline
+	Writer   string
+}
+
+// Ask stores a request for a rollout and returns it, once it is known to stand.
+func (r *Rollouts) Ask(ctx context.Context, q Request) (rollout.Rollout, error) {
+	now := r.Now()
+	if err := q.check(now); err != nil {
+		return rollout.Rollout{}, err
+	}
+	from, err := r.current(ctx, q.Service)
+	if err != nil {
+		return rollout.Rollout{}, err
+	}
+	if from == q.Version {
+		return rollout.Rollout{}, fault.New(fault.Invalid, fmt.Sprintf("service %s already has version %s", q.Service, q.Version), "name another version")
+	}
+	base, err := r.Accepter.Read(ctx, rollout.Plural, q.Service)
+	if err != nil {
+		return rollout.Rollout{}, err
+	}
+	token := r.Accepter.Token()
+	c := &asking{wanted: rollout.New(rollout.Fields{
+		ID: r.Accepter.Token(), Service: q.Service, From: from, To: q.Version, Deadline: q.Deadline.UTC(), Asked: now.UTC(),
+		Settle: q.settle(now), Token: token, Writer: q.Writer,
+	})}
+	if err := r.Accepter.commit(ctx, base, c); err != nil {
+		return rollout.Rollout{}, err
+	}
+	return c.wanted, nil
+}
+
+func (q Request) check(now time.Time) error {
+	left := q.Deadline.Sub(now)
+	switch {
+	case !checker.Label(q.Service):
+		return fault.New(fault.Invalid, fmt.Sprintf("%q is not the name of a service", q.Service), "use a service of the preset in force")
+	case !checker.Version(q.Version):
+		return fault.New(fault.Invalid, fmt.Sprintf("%q is not a version", q.Version),
+			"use 1 to 63 letters, digits and . - _ +, with a letter or digit first")
+	case left <= 0:
+		return fault.New(fault.Invalid, "the deadline has passed", "name a deadline at least 30 s ahead")
+	case left < shortestRollout:
+		return fault.New(fault.Invalid, "the deadline is "+left.Round(time.Second).String()+" ahead, too near to gather evidence",
+			"name a deadline at least 30 s ahead")
+	case q.Settle < 0 || q.Settle > left/2:
+		return fault.New(fault.Invalid, "the settle time "+q.Settle.String()+" is not between 0 and half of the time to the deadline",
+			"shorten it, or leave it out for a tenth of that time")
+	}
+	return nil
+}
+
+func (q Request) settle(now time.Time) time.Duration {
+	if q.Settle > 0 {
+		return q.Settle
+	}
+	return min(max(q.Deadline.Sub(now)/10, shortestSettle), longestSettle).Truncate(time.Millisecond)
+}
+
+// current returns the version of a service that takes the calls.
+func (r *Rollouts) current(ctx context.Context, name string) (string, error) {
+	h, err := r.Accepter.Head(ctx)
+	if err != nil {
+		return "", err
+	}
+	digest, ok := h.Parts()[name]
+	if !ok {
+		return "", fault.New(fault.NotFound, fmt.Sprintf("the preset in force (%q) has no service %q", h.Preset(), name),
+			"run wisteriaspoke presets show for its services")
+	}
+	if s, ok := h.Shares()[name]; ok && s.Stable() != "" {
+		return s.Stable(), nil
+	}
+	o, err := r.Accepter.Read(ctx, preset.PartPlural, digest)
+	if err != nil {
+		return "", err
+	}
+	s, err := Part(o)
+	return s.Version(), err
+}
+
+// TakeBack asks to take a rollout back and returns it as it was then; its holder does the rest.
+func (r *Rollouts) TakeBack(ctx context.Context, service, writer string) (rollout.Rollout, error) {
+	base, err := r.Accepter.Read(ctx, rollout.Plural, service)
+	if err != nil {
+		return rollout.Rollout{}, err
+	}
+	old, err := rollout.Decode(base)
+	if err != nil {
+		return rollout.Rollout{}, err
+	}
+	if old.ID() == "" {
+		return old, fault.New(fault.NotFound, fmt.Sprintf("service %q has no move", service), "run wisteriaspoke moves list")
+	}
+	if old.Cancel() && !old.Finished() {
+		return old, nil
+	}
+	c := &takingBack{service: service, token: r.Accepter.Token(), writer: writer}
+	if err := r.Accepter.commit(ctx, base, c); err != nil {
+		return rollout.Rollout{}, err
+	}
+	return c.cancelled, nil
+}
+
+// asking is the write of a new rollout.
+type asking struct {
+	wanted rollout.Rollout
+}
+
+func (c *asking) what() string {
+	return fmt.Sprintf("starting the move of %s to %s", c.wanted.Service(), c.wanted.To())
+}
+
+func (c *asking) tell() string {
+	return "wisteriaspoke moves show " + c.wanted.Service() + ", which names the move " + c.wanted.ID() + " if it was done"
+}
+
+func (c *asking) build(base object.Object) (object.Object, error) {
+	old, err := rollout.Decode(base)
+	if err != nil {
+		return base, err
+	}
+	if !old.Finished() {
+		return base, c.conflict(old)
+	}
+	spec, err := c.wanted.Encode()
+	return base.WithSpec(spec), err
+}
+
+func (c *asking) settle(base, now object.Object) (result, error) {
+	old, err := rollout.Decode(base)
+	if err != nil {
+		return unclear, err
+	}
+	r, err := rollout.Decode(now)
+	if err != nil {
+		return unclear, err
+	}
+	switch r.ID() {
+	case c.wanted.ID():
+		return accepted, nil
+	case old.ID():
+		return rebase, nil
+	}
+	// The rollout asked for may have ended and another one may have replaced it.
+	return unclear, c.conflict(r)
+}
+
+func (c *asking) conflict(r rollout.Rollout) error {
+	return fault.New(fault.Conflict, fmt.Sprintf("a move of %s to %s by %s is under way (%s)", r.Service(), r.To(), r.Writer(), r.State()),
+		fmt.Sprintf("run wisteriaspoke moves watch %s, or moves takeback %s first", r.Service(), r.Service()))
+}
+
+// takingBack is the write that asks a rollout's holder to take it back.
+type takingBack struct {
+	service   string
+	token     string
+	writer    string
+	cancelled rollout.Rollout
+}
+
+func (c *takingBack) what() string { return "taking back the move of " + c.service }
+
+func (c *takingBack) tell() string {
+	return "wisteriaspoke moves show " + c.service + ", which says so if it was done"
+}
+
+func (c *takingBack) build(base object.Object) (object.Object, error) {
+	old, err := rollout.Decode(base)
+	if err != nil {
+		return base, err
+	}
+	if old.Finished() {
+		return base, c.ended(old)
+	}
+	c.cancelled = old.WithCancel().WithWrite(c.token, c.writer)
+	spec, err := c.cancelled.Encode()
+	return base.WithSpec(spec), err
+}
+
+func (c *takingBack) settle(base, now object.Object) (result, error) {
+	old, err := rollout.Decode(base)
+	if err != nil {
+		return unclear, err
+	}
+	r, err := rollout.Decode(now)
+	if err != nil {
+		return unclear, err
+	}
+	switch {
+	case r.ID() != old.ID():
+		return lost, c.ended(old)
+	case r.Cancel():
+		return accepted, nil
+	case r.Finished():
+		return lost, c.ended(r)
+	}
+	return rebase, nil
+}
+
+func (c *takingBack) ended(r rollout.Rollout) error {
+	if r.State() == rollout.TakenBack {
+		return fault.New(fault.Conflict, fmt.Sprintf("the move of %s to %s is already taken back", c.service, r.To()), "nothing is left to do")
+	}
+	return fault.New(fault.Conflict, fmt.Sprintf("the move of %s to %s is already over", c.service, r.To()),
+		fmt.Sprintf("start a move to %s to return", r.From()))
+}
--- /dev/null
+++ b/mesh/accepter/use.go
@@ -0,0 +1,125 @@
+package accepter
+
+import (
+	"context"
+	"fmt"
+	"maps"
+
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/head"
+	"wisteriaspoke.example/mesh/object"
+	"wisteriaspoke.example/mesh/preset"
+)
+
+// Use puts a stored preset in force and returns its version, once the write is known to stand.
+func (a *Accepter) Use(ctx context.Context, name, writer string) (uint64, error) {
+	stored, err := a.Stored(ctx, name)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := a.Parts(ctx, stored.Parts()); err != nil {
+		return 0, err
+	}
+	base, err := a.Read(ctx, head.Plural, head.Name)
+	if err != nil {
+		return 0, err
+	}
+	c := &using{stored: stored, token: a.Token(), writer: writer}
+	if err := a.commit(ctx, base, c); err != nil {
+		return 0, err
+	}
+	return c.version, nil
+}
+
+// Stored returns the manifest of a preset, or an error of kind NotFound.
+func (a *Accepter) Stored(ctx context.Context, name string) (preset.Stored, error) {
+	o, err := a.Read(ctx, preset.Plural, name)
+	if err != nil {
+		return preset.Stored{}, err
+	}
+	if o.Revision() == "" {
+		return preset.Stored{}, fault.New(fault.NotFound, fmt.Sprintf("preset %q is not stored", name),
+			"run wisteriaspoke presets list for the stored ones, or apply it first")
+	}
+	return preset.Decode(o)
+}
+
+// Head returns the configuration in force; the zero Head before the first.
+func (a *Accepter) Head(ctx context.Context) (head.Head, error) {
+	o, err := a.Read(ctx, head.Plural, head.Name)
+	if err != nil {
+		return head.Head{}, err
+	}
+	return head.Decode(o)
+}
+
+// using is the write that puts a preset in force.
+type using struct {
+	stored  preset.Stored
+	token   string
+	writer  string
+	version uint64
+}
+
+func (c *using) what() string { return fmt.Sprintf("putting preset %q in force", c.stored.Name()) }
+
+func (c *using) tell() string {
+	return "wisteriaspoke presets history, which lists the token " + c.token + " if it was done"
+}
+
+func (c *using) build(base object.Object) (object.Object, error) {
+	old, err := head.Decode(base)
+	if err != nil {
+		return base, err
+	}
+	next := old.WithPreset(c.stored.Name(), c.stored.Parts(), c.token, c.writer)
+	c.version = next.Version()
+	spec, err := next.Encode()
+	return base.WithSpec(spec), err
+}
+
+func (c *using) settle(base, now object.Object) (result, error) {
+	old, err := head.Decode(base)
+	if err != nil {
+		return unclear, err
+	}
+	h, err := head.Decode(now)
+	if err != nil {
+		return unclear, err
+	}
+	if h.Wrote(c.token) {
+		return accepted, nil
+	}
+	since, complete := after(h, old.Version())
+	if !complete {
+		return unclear, c.conflict(h.Preset(), h.Writer(), h.Version())
+	}
+	for _, e := range since {
+		if e.Preset != old.Preset() {
+			return lost, c.conflict(e.Preset, e.Writer, e.Version)
+		}
+	}
+	// Rollouts change shares several times an hour for each service; operators do not compete with them.
+	if maps.Equal(h.Parts(), old.Parts()) && !maps.Equal(h.Shares(), old.Shares()) {
+		return rebase, nil
+	}
+	return lost, c.conflict(h.Preset(), h.Writer(), h.Version())
+}
+
+// after returns the entries of a head that follow a version, oldest first, and whether none is missing.
+func after(h head.Head, version uint64) ([]head.Entry, bool) {
+	all := []head.Entry{{Version: h.Version(), Preset: h.Preset(), Token: h.Token(), Writer: h.Writer()}}
+	all = append(all, h.History()...)
+	var since []head.Entry
+	for _, e := range all {
+		if e.Version > version {
+			since = append([]head.Entry{e}, since...)
+		}
+	}
+	return since, len(since) > 0 && since[0].Version == version+1
+}
+
+func (c *using) conflict(name, writer string, version uint64) error {
+	return fault.New(fault.Conflict, fmt.Sprintf("%s put preset %q in force as version %d before %q", writer, name, version, c.stored.Name()),
+		"run wisteriaspoke presets history, then use yours again if it should replace that")
+}
--- a/mesh/checker/checker_test.go
+++ b/mesh/checker/checker_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"maps"
 	"os"
@@ -11,30 +10,12 @@
 	"strings"
 	"testing"
 
+	"github.com/sebdah/goldie/v2"
+
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/preset"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
-// golden compares got with a file of testdata.
-func golden(t *testing.T, name, got string) {
-	t.Helper()
-	file := filepath.Join("testdata", name+".golden")
-	if *update {
-		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", name, got, want)
-	}
-}
-
 // render returns the errors, one a line, or the manifest.
 func render(p preset.Preset, err error) string {
 	if err != nil {
@@ -62,7 +43,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			golden(t, name, render(New().Check(data)))
+			goldie.New(t).Assert(t, name, []byte(render(New().Check(data))))
 		})
 	}
 }
@@ -88,7 +69,7 @@
 	for _, c := range cases {
 		fmt.Fprintf(&b, "%s: %s", c.name, render(c.checker.Check(data)))
 	}
-	golden(t, "limits", b.String())
+	goldie.New(t).Assert(t, "limits", []byte(b.String()))
 }
 
 // Guards against an answer of megabytes for a wrong file of many services.
