Serve the operators' API

A status is answered from the node's own reports when the store does not answer within 2 s, so that operators see the mesh during an outage.

--- a/mesh/accepter/rollouts.go
+++ b/mesh/accepter/rollouts.go
@@ -100,7 +100,7 @@
 	digest, ok := h.Parts()[name]
 	if !ok {
 		return "", fault.New(fault.NotFound, fmt.Sprintf("the preset in force (%q) has no service %q", h.Preset(), name),
-			"run wisteriaspoke presets show for its services")
+			"run wisteriaspoke presets list, then presets show NAME for the services")
 	}
 	if s, ok := h.Shares()[name]; ok && s.Stable() != "" {
 		return s.Stable(), nil
--- /dev/null
+++ b/mesh/operator/diff.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"wisteriaspoke.example/mesh/checker"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/route"
+	"wisteriaspoke.example/mesh/service"
+)
+
+// difference is one service that two presets do not have in common.
+type difference struct {
+	Service string   `json:"service"`
+	Change  string   `json:"change"` // added, removed or changed
+	Details []string `json:"details"`
+}
+
+func (a *api) diff(ctx context.Context, r request) (any, error) {
+	from, err := a.definitions(ctx, "from", r)
+	if err != nil {
+		return nil, err
+	}
+	to, err := a.definitions(ctx, "to", r)
+	if err != nil {
+		return nil, err
+	}
+	return map[string]any{"from": r.first("from"), "to": r.first("to"), "differences": compare(from, to)}, nil
+}
+
+func (a *api) definitions(ctx context.Context, key string, r request) (map[string]service.Service, error) {
+	name := r.first(key)
+	if !checker.Label(name) {
+		return nil, fault.New(fault.Invalid, fmt.Sprintf("%s is %q, which is not the name of a preset", key, name), "set it to the name of a stored preset")
+	}
+	s, err := a.accepter.Stored(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	return a.accepter.Parts(ctx, s.Parts())
+}
+
+func compare(from, to map[string]service.Service) []difference {
+	names := map[string]bool{}
+	for name := range from {
+		names[name] = true
+	}
+	for name := range to {
+		names[name] = true
+	}
+	all := []difference{}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		old, before := from[name]
+		s, after := to[name]
+		switch {
+		case !before:
+			all = append(all, difference{Service: name, Change: "added", Details: []string{"version " + s.Version()}})
+		case !after:
+			all = append(all, difference{Service: name, Change: "removed", Details: []string{"version " + old.Version()}})
+		default:
+			if details := changes(old, s); len(details) > 0 {
+				all = append(all, difference{Service: name, Change: "changed", Details: details})
+			}
+		}
+	}
+	return all
+}
+
+// changes returns what differs between two definitions, one line for each field and each route.
+func changes(old, s service.Service) []string {
+	var all []string
+	add := func(field string, a, b any) {
+		if x, y := fmt.Sprint(a), fmt.Sprint(b); x != y {
+			all = append(all, fmt.Sprintf("%s %s -> %s", field, x, y))
+		}
+	}
+	add("version", old.Version(), s.Version())
+	add("timeout", old.Timeout(), s.Timeout())
+	add("depends", strings.Join(old.Depends(), ","), strings.Join(s.Depends(), ","))
+	before := routes(old)
+	after := routes(s)
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		if _, ok := after[name]; !ok {
+			all = append(all, "route "+name+" removed")
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(after)) {
+		r, ok := before[name]
+		switch {
+		case !ok:
+			all = append(all, "route "+name+" added")
+		case encoded(r) != encoded(after[name]):
+			all = append(all, fmt.Sprintf("route %s %s -> %s", name, encoded(r), encoded(after[name])))
+		}
+	}
+	return all
+}
+
+func routes(s service.Service) map[string]route.Route {
+	all := map[string]route.Route{}
+	for _, r := range s.Routes() {
+		all[r.Name()] = r
+	}
+	return all
+}
+
+// encoded returns a route's own format, which cannot fail as it was decoded from it.
+func encoded(r route.Route) string {
+	data, err := json.Marshal(r)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
--- /dev/null
+++ b/mesh/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator is the part that serves the operators' HTTP API.
+package operator
--- /dev/null
+++ b/mesh/operator/status.go
@@ -0,0 +1,143 @@
+package operator
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/group"
+	"wisteriaspoke.example/mesh/report"
+)
+
+func init() {
+	handle("GET", "/v1/status", (*api).status)
+	handle("GET", "/v1/endpoints", (*api).endpoints)
+	handle("GET", "/v1/explain", (*api).explain)
+}
+
+// storeLimit is how long a status waits for the store before it is answered from what this node has heard.
+const storeLimit = 2 * time.Second
+
+// Sources of a status.
+const (
+	fromStore = "store"
+	fromNode  = "node" // the store is out; the reports are what this node has heard
+)
+
+// condition is the answer to a status request; ages are in milliseconds.
+type condition struct {
+	Source  string   `json:"source"`
+	Preset  string   `json:"preset"`
+	Version uint64   `json:"version"`
+	Reports []centre `json:"reports"`
+}
+
+// centre is the state of one data centre.
+type centre struct {
+	Name     string           `json:"centre"`
+	Age      int64            `json:"age"`    // since the report was made
+	Stored   int64            `json:"stored"` // since the store confirmed the newest version to the relay
+	Newest   uint64           `json:"newest"`
+	Nodes    map[uint64]int   `json:"nodes"`
+	Laggards []report.Laggard `json:"laggards,omitempty"`
+	Error    string           `json:"error,omitempty"` // why the report cannot be read; then only Name is set
+}
+
+func (a *api) status(ctx context.Context, _ request) (any, error) {
+	limited, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
+	c, err := a.stored(limited)
+	if err != nil {
+		if fault.KindOf(err) != fault.Unavailable || len(a.reporters) == 0 {
+			return nil, err
+		}
+		c = a.heard()
+	}
+	slices.SortFunc(c.Reports, func(a, b centre) int { return cmp.Compare(a.Name, b.Name) })
+	return c, nil
+}
+
+// stored returns the status from the store.
+func (a *api) stored(ctx context.Context) (condition, error) {
+	h, err := a.accepter.Head(ctx)
+	if err != nil {
+		return condition{}, err
+	}
+	objects, err := a.accepter.List(ctx, report.Plural)
+	if err != nil {
+		return condition{}, err
+	}
+	c := condition{Source: fromStore, Preset: h.Preset(), Version: h.Version(), Reports: []centre{}}
+	for _, o := range objects {
+		var r report.Report
+		if err := json.Unmarshal(o.Spec(), &r); err != nil {
+			c.Reports = append(c.Reports, centre{Name: o.Name(), Error: err.Error()})
+			continue
+		}
+		c.Reports = append(c.Reports, a.centre(r))
+	}
+	return c, nil
+}
+
+func (a *api) centre(r report.Report) centre {
+	now := a.now()
+	return centre{
+		Name: r.DataCentre(), Age: now.Sub(r.At()).Milliseconds(), Stored: now.Sub(r.Heard()).Milliseconds(),
+		Newest: r.Newest(), Nodes: r.Nodes(), Laggards: r.Laggards(),
+	}
+}
+
+// heard returns the status from this node; the version is the newest that any data centre knows.
+func (a *api) heard() condition {
+	c := condition{Source: fromNode, Reports: []centre{}}
+	for _, r := range a.reporters[0].Reports() {
+		c.Version = max(c.Version, r.Newest())
+		c.Reports = append(c.Reports, a.centre(r))
+	}
+	return c
+}
+
+func (a *api) endpoints(ctx context.Context, r request) (any, error) {
+	objects, err := a.accepter.List(ctx, "endpoints")
+	if err != nil {
+		return nil, err
+	}
+	all := []group.Group{}
+	for _, o := range objects {
+		var g group.Group
+		if err := json.Unmarshal(o.Spec(), &g); err != nil {
+			return nil, fault.Wrap(fault.Invalid, err, "endpoints/"+o.Name()+" is malformed", "delete the object; a relay writes it again")
+		}
+		if s := r.first("service"); s == "" || s == g.Service() {
+			all = append(all, g)
+		}
+	}
+	slices.SortFunc(all, func(a, b group.Group) int {
+		return cmp.Or(cmp.Compare(a.Service(), b.Service()), cmp.Compare(a.DataCentre(), b.DataCentre()))
+	})
+	return map[string]any{"groups": all}, nil
+}
+
+func (a *api) explain(_ context.Context, r request) (any, error) {
+	if len(a.explainers) == 0 {
+		return nil, fault.New(fault.NotFound, "this node does not route calls", "ask a node that runs the call path")
+	}
+	headers := map[string]string{}
+	for _, h := range r.query["header"] {
+		name, value, ok := strings.Cut(h, "=")
+		if !ok || name == "" {
+			return nil, fault.New(fault.Invalid, fmt.Sprintf("header is %q", h), "write NAME=VALUE")
+		}
+		headers[strings.ToLower(name)] = value
+	}
+	method := r.first("method")
+	if method == "" {
+		method = "GET"
+	}
+	return a.explainers[0].Explain(method, r.first("host"), r.first("path"), func(name string) string { return headers[strings.ToLower(name)] }), nil
+}
