--- /dev/null
+++ b/ctl/endpoints/doc.go
@@ -0,0 +1,2 @@
+// Package endpoints is the command that lists endpoints.
+package endpoints
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -1,4 +1,17 @@
-// Command ctl is a placeholder until its parts land.
+// Command wisteriaspoke is the operators' command line.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"wisteriaspoke.example/ctl/core"
+	_ "wisteriaspoke.example/ctl/endpoints"
+	_ "wisteriaspoke.example/ctl/explain"
+	_ "wisteriaspoke.example/ctl/moves"
+	_ "wisteriaspoke.example/ctl/presets"
+	_ "wisteriaspoke.example/ctl/status"
+)
+
+func main() {
+	os.Exit(core.NewProgram().Run(os.Args[1:]))
+}
--- /dev/null
+++ b/ctl/moves/doc.go
@@ -0,0 +1,2 @@
+// Package moves is the commands on moves of a service to a new version.
+package moves
--- /dev/null
+++ b/ctl/presets/doc.go
@@ -0,0 +1,2 @@
+// Package presets is the commands on presets.
+package presets
--- a/mesh/accepter/race_test.go
+++ b/mesh/accepter/race_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// attempted is one operator's use of a preset and what it was told.
+// attempted is one operator's write and what it was told.
 type attempted struct {
 	writer  string
 	preset  string
@@ -57,40 +57,48 @@
 	err     error
 }
 
+// race lets several operators run the write at the same time on a store whose requests fail as rapid draws, and
+// returns what each was told.
+func race(t *rapid.T, f *fake, write func(a *Accepter, w *attempted)) []attempted {
+	faults := rapid.SliceOfN(rapid.SampledFrom([]string{
+		answer, answer, answer, answer, out, busy, gone, drop, late, "share",
+	}), 0, 40).Draw(t, "faults")
+	f.plan = func(string) string {
+		if len(faults) == 0 {
+			return answer
+		}
+		what := faults[0]
+		faults = faults[1:]
+		if edit, ok := edits[what]; ok {
+			edit(f)
+			return answer
+		}
+		return what
+	}
+	s := &schedule{ready: make(chan chan struct{}), ended: make(chan struct{})}
+	f.turn = s.turn
+	all := make([]attempted, rapid.IntRange(2, 4).Draw(t, "operators"))
+	for i := range all {
+		all[i].writer = fmt.Sprintf("w%d", i)
+		all[i].preset = rapid.SampledFrom([]string{"day", "night", "peak"}).Draw(t, "preset")
+		go func() {
+			write(operator(f, all[i].writer), &all[i])
+			s.ended <- struct{}{}
+		}()
+	}
+	s.run(t, len(all))
+	return all
+}
+
 // Guards against two presets in force at a version, an accepted preset that is not in the order of versions, a write
 // that takes effect twice, and a loser that is told nothing of the winner.
-func TestRacingOperators(t *testing.T) {
+func TestRacingUses(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := prepared()
 		first := len(f.heads)
-		faults := rapid.SliceOfN(rapid.SampledFrom([]string{
-			answer, answer, answer, answer, out, busy, gone, drop, late, "share",
-		}), 0, 40).Draw(t, "faults")
-		f.plan = func(string) string {
-			if len(faults) == 0 {
-				return answer
-			}
-			what := faults[0]
-			faults = faults[1:]
-			if edit, ok := edits[what]; ok {
-				edit(f)
-				return answer
-			}
-			return what
-		}
-		s := &schedule{ready: make(chan chan struct{}), ended: make(chan struct{})}
-		f.turn = s.turn
-		count := rapid.IntRange(2, 4).Draw(t, "operators")
-		all := make([]attempted, count)
-		for i := range all {
-			all[i] = attempted{writer: fmt.Sprintf("w%d", i), preset: rapid.SampledFrom([]string{"day", "night", "peak"}).Draw(t, "preset")}
-			go func() {
-				a := operator(f, all[i].writer)
-				all[i].version, all[i].err = a.Use(context.Background(), all[i].preset, all[i].writer)
-				s.ended <- struct{}{}
-			}()
-		}
-		s.run(t, count)
+		all := race(t, f, func(a *Accepter, w *attempted) {
+			w.version, w.err = a.Use(context.Background(), w.preset, w.writer)
+		})
 		order(t, f.heads)
 		for _, a := range all {
 			told(t, f.heads[first:], a)
@@ -98,6 +106,36 @@
 	})
 }
 
+// Guards against a manifest that is stored twice, or that an operator is told of wrongly.
+func TestRacingApplies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := prepared()
+		first := len(f.presets)
+		all := race(t, f, func(a *Accepter, w *attempted) {
+			s, err := a.Apply(context.Background(), mustPreset(w.preset, "9"), w.writer)
+			w.version, w.err = s.Revision(), err
+		})
+		for _, a := range all {
+			var written []uint64
+			for _, s := range f.presets[first:] {
+				if s.Writer() == a.writer {
+					written = append(written, s.Revision())
+				}
+			}
+			switch kind := fault.KindOf(a.err); {
+			case len(written) > 1:
+				t.Fatalf("%s wrote revisions %v", a.writer, written)
+			case a.err == nil && !slices.Equal(written, []uint64{a.version}):
+				t.Fatalf("%s was told of revision %d and wrote %v", a.writer, a.version, written)
+			case kind == fault.Conflict && len(written) > 0:
+				t.Fatalf("%s was refused and wrote %v: %v", a.writer, written, a.err)
+			case a.err != nil && kind != fault.Conflict && kind != fault.MayHaveRun:
+				t.Fatalf("%s was told %v", a.writer, a.err)
+			}
+		}
+	})
+}
+
 // order fails if a version was skipped, repeated or written twice.
 func order(t *rapid.T, heads []head.Head) {
 	tokens := map[string]bool{}
--- a/mesh/accepter/rollouts.go
+++ b/mesh/accepter/rollouts.go
@@ -97,6 +97,9 @@
 	if err != nil {
 		return "", err
 	}
+	if h.Version() == 0 {
+		return "", fault.New(fault.NotFound, "no preset is in force", "run wisteriaspoke presets use NAME first")
+	}
 	digest, ok := h.Parts()[name]
 	if !ok {
 		return "", fault.New(fault.NotFound, fmt.Sprintf("the preset in force (%q) has no service %q", h.Preset(), name),
--- a/mesh/accepter/store_test.go
+++ b/mesh/accepter/store_test.go
@@ -9,6 +9,7 @@
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/head"
 	"wisteriaspoke.example/mesh/object"
+	"wisteriaspoke.example/mesh/preset"
 )
 
 // What the fake store does with one request.
@@ -27,7 +28,8 @@
 	count   int
 	objects map[string]object.Object
 	delayed []delayed
-	heads   []head.Head // every head that stood, in order
+	heads   []head.Head     // every head that stood, in order
+	presets []preset.Stored // every manifest that stood, in order
 	calls   []string
 	// plan returns what to do with a request; it may call put to write for someone else.
 	plan func(call string) string
@@ -92,6 +94,13 @@
 		}
 		f.heads = append(f.heads, h)
 	}
+	if o.Plural() == preset.Plural {
+		s, err := preset.Decode(o)
+		if err != nil {
+			panic(err)
+		}
+		f.presets = append(f.presets, s)
+	}
 	return o, nil
 }
 
