--- a/mesh/checker/routes.go
+++ b/mesh/checker/routes.go
@@ -153,7 +153,8 @@
 
 // ambiguous records a problem if another route of the preset matches the same calls with the same precedence.
 func (c *check) ambiguous(m match) {
-	key := m.host + " " + m.path
+	// A router compares whole segments, for which a slash at the end makes no difference.
+	key := m.host + " " + strings.TrimRight(m.path, "/")
 	for _, o := range c.routes[key] {
 		if maps.Equal(o.headers, m.headers) && overlap(o.methods, m.methods) {
 			c.problems.add(m.node, "matches the same calls as "+o.node.path, "change the host, path, methods or headers of one of the two")
