--- /dev/null
+++ b/mesh/relayer/client.go
@@ -0,0 +1,246 @@
+package relayer
+
+import (
+	"slices"
+	"time"
+
+	"wisteriaspoke.example/mesh/differ"
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/fault"
+)
+
+const (
+	subscribePeriod = time.Second
+	// floorPeriod is how often a node that needs the version floor asks for it.
+	floorPeriod = 200 * time.Millisecond
+	// retargetSpread spreads the first messages of a data centre's nodes to relays that are new to them.
+	retargetSpread = 50 * time.Millisecond
+	// relaySilence is how long a node waits for its relays before it looks for others.
+	relaySilence = 2500 * time.Millisecond
+)
+
+// client is the node's side of its relays.
+type client struct {
+	state    differ.State // applied
+	refused  uint64
+	reason   string
+	demanded []string
+	relays   []string // the first pushes deltas, the second the version
+	heard    map[string]time.Time
+	since    time.Time // when relays last changed
+	at       time.Time // of the next subscription
+	newest   map[string]uint64
+	lagging  time.Time
+	pullAt   time.Time
+	whole    bool // the next pull asks for the whole state
+}
+
+func newClient() client { return client{heard: map[string]time.Time{}, newest: map[string]uint64{}} }
+
+// connected reports whether one of the node's relays is heard.
+func (c *client) connected(now time.Time) bool {
+	return slices.ContainsFunc(c.relays, func(a string) bool { return now.Sub(c.heard[a]) < relaySilence })
+}
+
+func (c *client) unlinked(peer string) {
+	delete(c.heard, peer)
+	delete(c.newest, peer)
+}
+
+func (c *client) retarget() {
+	c.relays = nil
+	c.at = time.Time{}
+}
+
+func (r *relayer) tickClient() {
+	if r.seat >= 0 {
+		return
+	}
+	r.chooseRelays()
+	if len(r.client.relays) > 0 && !r.now.Before(r.client.at) {
+		period := subscribePeriod
+		if !r.floor.known {
+			period = floorPeriod
+		}
+		r.client.at = r.now.Add(period)
+		for i := range r.client.relays {
+			r.subscribe(i, false)
+		}
+	}
+	r.pullIfLagging()
+}
+
+// chooseRelays takes the live relays of the own data centre, or one of the region or elsewhere while there are none.
+func (r *relayer) chooseRelays() {
+	c := &r.client
+	match := func(f func(*holding) bool) []string {
+		return addresses(r.table.selectLive(r.now, func(h *holding) bool { return h.holder != r.config.Node && f(h) }))
+	}
+	next := match(func(h *holding) bool { return h.centre == r.config.DataCentre })
+	if len(next) == 0 {
+		next = r.borrow(match(func(h *holding) bool { return h.region == r.config.Region }))
+	}
+	if len(next) == 0 {
+		next = r.borrow(match(func(*holding) bool { return true }))
+	}
+	if slices.Equal(next, c.relays) {
+		return
+	}
+	c.relays = next
+	c.since = r.now
+	c.at = r.now.Add(r.jitter(retargetSpread))
+	r.wake(c.at)
+}
+
+// borrow picks one of the addresses, the one in use if it is among them.
+func (r *relayer) borrow(from []string) []string {
+	if len(from) == 0 {
+		return nil
+	}
+	for _, a := range r.client.relays {
+		if slices.Contains(from, a) {
+			return []string{a}
+		}
+	}
+	return []string{from[r.config.Rand.IntN(len(from))]}
+}
+
+func (r *relayer) subscribe(index int, pull bool) {
+	c := &r.client
+	m := &subscribe{
+		Centre: r.config.DataCentre, Service: r.config.Service, Demanded: c.demanded,
+		Version: c.state.Version(), Digest: c.state.Digest(), Refused: c.refused, Reason: c.reason,
+		Push: index == 0, Pull: pull,
+	}
+	if !r.floor.known {
+		m.Stamp = max(1, r.now.Sub(r.started).Milliseconds())
+	}
+	if pull && c.whole {
+		m.Digest = 0
+	}
+	r.send(c.relays[index], subscribeKind, m)
+}
+
+func (r *relayer) receivePulse(from string, m *pulse) {
+	c := &r.client
+	r.merge(m.Seats)
+	r.finder.found = true
+	r.claim.fleet = m.Nodes
+	c.heard[from] = r.now
+	c.newest[from] = m.Version
+	if m.Stamp > 0 {
+		r.knowFloor(m.Floor)
+	}
+	r.floor.out = m.Out
+	r.tickClient()
+	r.updateRoster()
+}
+
+// pullIfLagging pulls from a relay that has a newer version once this node has lagged for lagPatience.
+func (r *relayer) pullIfLagging() {
+	c := &r.client
+	best := -1
+	newest := max(c.state.Version(), c.refused)
+	for i, a := range c.relays {
+		if c.newest[a] > newest {
+			best, newest = i, c.newest[a]
+		}
+	}
+	if best < 0 {
+		c.lagging = time.Time{}
+		return
+	}
+	if c.lagging.IsZero() {
+		c.lagging = r.now
+		r.wake(r.now.Add(lagPatience))
+	}
+	if r.now.Sub(c.lagging) < lagPatience || r.now.Before(c.pullAt) {
+		return
+	}
+	c.pullAt = r.now.Add(lagPatience + r.jitter(lagPatience/3))
+	r.subscribe(best, true)
+}
+
+func (r *relayer) receiveLater(m *later) {
+	r.client.pullAt = r.now.Add(time.Duration(m.Wait) * time.Millisecond)
+	r.client.lagging = r.now.Add(-lagPatience)
+	r.wake(r.client.pullAt)
+}
+
+func (r *relayer) receiveDelta(from string, d differ.Delta) {
+	if r.seat >= 0 {
+		r.receiveRelayDelta(from, d)
+		return
+	}
+	c := &r.client
+	resubscribed := d.Version() == c.state.Version() && d.Base() == 0 && d.Digest() != c.state.Digest()
+	if d.Version() <= c.state.Version() && !resubscribed {
+		return
+	}
+	state, err := differ.Apply(c.state, d)
+	if err != nil {
+		r.rejectDelta(d, err, func() { r.pullAgain(from) })
+		return
+	}
+	c.whole = false
+	c.lagging = time.Time{}
+	c.state = state
+	r.publish()
+}
+
+// rejectDelta refuses the version of a delta that fails the check; one that does not fit the base is pulled again as
+// a whole.
+func (r *relayer) rejectDelta(d differ.Delta, err error, again func()) {
+	if fault.KindOf(err) == fault.Conflict {
+		again()
+		return
+	}
+	r.refuse(d.Version(), err.Error())
+}
+
+func (r *relayer) pullAgain(from string) {
+	r.client.whole = true
+	if i := slices.Index(r.client.relays, from); i >= 0 && !r.now.Before(r.client.pullAt) {
+		r.client.pullAt = r.now.Add(lagPatience)
+		r.subscribe(i, true)
+	}
+}
+
+// demand subscribes to one more service.
+func (r *relayer) demand(service string) {
+	c := &r.client
+	if _, ok := c.state.Part(service); ok || slices.Contains(c.demanded, service) {
+		return
+	}
+	c.demanded = append(slices.Clone(c.demanded), service)
+	slices.Sort(c.demanded)
+	if r.seat < 0 && len(c.relays) > 0 {
+		r.subscribe(0, true)
+	}
+}
+
+// applyOwn applies a state to this relay's own node.
+func (r *relayer) applyOwn(state differ.State) {
+	if state.Version() < r.client.state.Version() {
+		return
+	}
+	r.client.state = state
+	r.publish()
+}
+
+// publish hands the state to the data path unless it is older than what the node must not go below.
+func (r *relayer) publish() {
+	f := &r.floor
+	s := r.client.state
+	if !f.known || s.Version() == 0 || s.Version() < f.value || s.Version() < f.published {
+		return
+	}
+	if s.Version() == f.published && s.Digest() == f.digest {
+		return
+	}
+	f.published, f.digest = s.Version(), s.Digest()
+	c := s.Config()
+	r.emit(effect.NewPublish(c))
+	r.emit(effect.NewRaise(event.NewLocal(event.Config, c)))
+}
--- /dev/null
+++ b/mesh/relayer/messages.go
@@ -0,0 +1,80 @@
+package relayer
+
+import (
+	"wisteriaspoke.example/mesh/differ"
+	"wisteriaspoke.example/mesh/encoder"
+)
+
+// Kinds of the messages that this package sends.
+const (
+	askKind       = "ask"       // any node to a seed: which relays are there
+	knownKind     = "known"     // answer to ask
+	subscribeKind = "subscribe" // client to relay each second, and at once when something changes
+	pulseKind     = "pulse"     // relay to client after each renewal, and when the version changes
+	deltaKind     = "delta"     // relay to client
+	laterKind     = "later"     // relay to client that asked for a whole state above the relay's rate
+	syncKind      = "sync"      // relay to relay
+)
+
+// seat is what a node says of one relay lease.
+type seat struct {
+	Centre  string `cbor:"1,keyasint"`
+	Region  string `cbor:"2,keyasint"`
+	Index   int    `cbor:"3,keyasint,omitempty"`
+	Holder  string `cbor:"4,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"5,keyasint"`
+	Renewed int64  `cbor:"6,keyasint,omitempty"` // milliseconds since 1970 on the holder's clock
+	Age     int64  `cbor:"7,keyasint,omitempty"` // milliseconds since the holder was last heard
+}
+
+type ask struct{}
+
+type known struct {
+	Seats   []seat `cbor:"1,keyasint,omitempty"`
+	Centre  string `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint,omitempty"` // in force on the sender, zero while it is not ready
+}
+
+type subscribe struct {
+	Centre   string   `cbor:"1,keyasint"`
+	Service  string   `cbor:"2,keyasint,omitempty"`
+	Demanded []string `cbor:"3,keyasint,omitempty"`
+	Version  uint64   `cbor:"4,keyasint,omitempty"`
+	Digest   uint64   `cbor:"5,keyasint,omitempty"`
+	Refused  uint64   `cbor:"6,keyasint,omitempty"`
+	Reason   string   `cbor:"7,keyasint,omitempty"`
+	Push     bool     `cbor:"8,keyasint,omitempty"`  // send deltas without being asked
+	Pull     bool     `cbor:"9,keyasint,omitempty"`  // send a delta now
+	Relay    bool     `cbor:"10,keyasint,omitempty"` // the whole configuration, also before it is confirmed
+	Stamp    int64    `cbor:"11,keyasint,omitempty"` // milliseconds since the client's start while it needs the floor
+}
+
+type pulse struct {
+	Version uint64 `cbor:"1,keyasint,omitempty"` // confirmed on the sender
+	Seats   []seat `cbor:"2,keyasint,omitempty"`
+	Nodes   int    `cbor:"3,keyasint,omitempty"` // nodes of the data centre that the sender hears
+	Stamp   int64  `cbor:"4,keyasint,omitempty"` // of the subscription; set when Floor is known
+	Floor   uint64 `cbor:"5,keyasint,omitempty"`
+	Out     bool   `cbor:"6,keyasint,omitempty"` // the store does not answer the sender
+}
+
+type later struct {
+	Wait int64 `cbor:"1,keyasint"` // milliseconds
+}
+
+type syncing struct {
+	Latest    uint64 `cbor:"1,keyasint,omitempty"`
+	Confirmed uint64 `cbor:"2,keyasint,omitempty"`
+	Digest    uint64 `cbor:"3,keyasint,omitempty"` // of the latest state
+	Seats     []seat `cbor:"4,keyasint,omitempty"`
+}
+
+func init() {
+	encoder.Register(askKind, func() any { return new(ask) })
+	encoder.Register(knownKind, func() any { return new(known) })
+	encoder.Register(subscribeKind, func() any { return new(subscribe) })
+	encoder.Register(pulseKind, func() any { return new(pulse) })
+	encoder.Register(deltaKind, func() any { return new(differ.Delta) })
+	encoder.Register(laterKind, func() any { return new(later) })
+	encoder.Register(syncKind, func() any { return new(syncing) })
+}
--- /dev/null
+++ b/mesh/relayer/peers.go
@@ -0,0 +1,198 @@
+package relayer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"wisteriaspoke.example/mesh/differ"
+)
+
+const (
+	syncPeriod = 500 * time.Millisecond
+	// tablePeriod is how often a gateway sends the whole table of leases to its region's relays.
+	tablePeriod = 2 * time.Second
+	// callerTimeout is how long a relay answers another that is not in its own set of peers.
+	callerTimeout = 2 * time.Second
+	// lagPatience is how long a node or a relay waits for a push before it pulls.
+	lagPatience = 300 * time.Millisecond
+)
+
+// peer is what a relay knows of another relay.
+type peer struct {
+	latest    uint64
+	confirmed uint64
+	digest    uint64
+	heard     time.Time
+}
+
+func (r *relayer) tickPeers() {
+	if r.seat < 0 {
+		return
+	}
+	r.noteSelf()
+	if !r.now.Before(r.supply.syncAt) {
+		r.syncAll()
+	}
+	r.catchUp()
+}
+
+// peerAddresses returns the relays to keep in touch with.
+func (r *relayer) peerAddresses() []string {
+	set := map[string]bool{}
+	for _, h := range r.regionPeers() {
+		set[h.holder] = true
+	}
+	if r.acting() {
+		for _, h := range r.remoteGateways() {
+			set[h.holder] = true
+		}
+	}
+	for address, p := range r.supply.peers {
+		if r.now.Sub(p.heard) < callerTimeout {
+			set[address] = true
+		}
+	}
+	delete(set, r.config.Node)
+	return slices.Sorted(maps.Keys(set))
+}
+
+// syncAll tells the other relays which version and lease this one has.
+func (r *relayer) syncAll() {
+	if r.seat < 0 {
+		return
+	}
+	r.supply.syncAt = r.now.Add(syncPeriod)
+	whole := r.acting() && !r.now.Before(r.supply.tableAt)
+	if whole {
+		r.supply.tableAt = r.now.Add(tablePeriod)
+	}
+	regional := map[string]bool{}
+	for _, h := range r.regionPeers() {
+		regional[h.holder] = true
+	}
+	for _, address := range r.peerAddresses() {
+		r.send(address, syncKind, &syncing{
+			Latest: r.supply.latest.Version(), Confirmed: r.supply.confirmed, Digest: r.supply.latest.Digest(),
+			Seats: r.table.seats(r.now, func(h *holding) bool {
+				own := h.centre == r.config.DataCentre && h.index == r.seat
+				return own || (regional[address] && whole) || (!regional[address] && h.region == r.config.Region)
+			}),
+		})
+	}
+}
+
+func (r *relayer) receiveSync(from string, m *syncing) {
+	r.merge(m.Seats)
+	if r.seat < 0 {
+		return
+	}
+	s := &r.supply
+	p := s.peers[from]
+	if p == nil {
+		p = &peer{}
+		s.peers[from] = p
+	}
+	p.latest, p.confirmed, p.digest, p.heard = m.Latest, m.Confirmed, m.Digest, r.now
+	if _, ok := s.at(m.Confirmed); ok {
+		r.confirm(m.Confirmed)
+	}
+	if v := s.withheld.Version(); v > 0 && v <= m.Confirmed && v > s.latest.Version() {
+		r.release()
+	}
+	r.catchUp()
+}
+
+// release distributes a withheld version after another relay has confirmed it.
+func (r *relayer) release() {
+	state := r.supply.withheld
+	r.supply.withheld = differ.State{}
+	delete(r.supply.suspects, state.Version())
+	if r.supply.refused == state.Version() {
+		r.supply.refused, r.supply.reason = 0, ""
+		r.client.refused, r.client.reason = 0, ""
+	}
+	r.accept(state)
+}
+
+// confirmedElsewhere reports whether another relay has run the version for trialPeriod.
+func (r *relayer) confirmedElsewhere(version uint64) bool {
+	for _, p := range r.supply.peers {
+		if p.confirmed >= version {
+			return true
+		}
+	}
+	return false
+}
+
+// catchUp pulls from the relay with the newest version once this one has lagged for lagPatience.
+func (r *relayer) catchUp() {
+	s := &r.supply
+	best := ""
+	newest := max(s.latest.Version(), s.withheld.Version())
+	for _, address := range slices.Sorted(maps.Keys(s.peers)) {
+		if p := s.peers[address]; p.latest > newest && r.now.Sub(p.heard) < callerTimeout {
+			best, newest = address, p.latest
+		}
+	}
+	if best == "" {
+		s.lagging = time.Time{}
+		return
+	}
+	if s.lagging.IsZero() {
+		s.lagging = r.now
+		r.wake(r.now.Add(lagPatience))
+	}
+	if r.now.Sub(s.lagging) < lagPatience || r.now.Before(s.pullAt) {
+		return
+	}
+	s.pullAt = r.now.Add(lagPatience)
+	r.pullFrom(best)
+}
+
+func (r *relayer) pullFrom(address string) {
+	r.send(address, subscribeKind, &subscribe{
+		Centre: r.config.DataCentre, Version: r.supply.latest.Version(), Digest: r.supply.latest.Digest(), Pull: true, Relay: true,
+	})
+}
+
+// pushRelays sends the newest state to the relays of the region that lack it, and its version to the other peers.
+func (r *relayer) pushRelays() {
+	if r.acting() {
+		for _, h := range r.regionPeers() {
+			p := r.supply.peers[h.holder]
+			if p == nil || p.latest >= r.supply.latest.Version() {
+				continue
+			}
+			if base, ok := r.supply.at(p.latest); ok && base.Digest() == p.digest {
+				d := differ.Between(base, r.supply.latest)
+				r.send(h.holder, deltaKind, &d)
+				// The push counts as received; the peer's next heartbeat says what it has.
+				p.latest, p.digest = r.supply.latest.Version(), r.supply.latest.Digest()
+			}
+		}
+	}
+	r.syncAll()
+}
+
+// receiveRelayDelta takes a delta from another relay.
+func (r *relayer) receiveRelayDelta(from string, d differ.Delta) {
+	s := &r.supply
+	if d.Version() <= s.latest.Version() {
+		return
+	}
+	state, err := differ.Apply(s.latest, d)
+	if err != nil {
+		r.rejectDelta(d, err, func() { r.pullWhole(from) })
+		return
+	}
+	r.accept(state)
+}
+
+func (r *relayer) pullWhole(address string) {
+	if r.now.Before(r.supply.pullAt) {
+		return
+	}
+	r.supply.pullAt = r.now.Add(lagPatience)
+	r.send(address, subscribeKind, &subscribe{Centre: r.config.DataCentre, Pull: true, Relay: true})
+}
--- /dev/null
+++ b/mesh/relayer/scenario_test.go
@@ -0,0 +1,184 @@
+package relayer
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// scenarioSeeds is the number of fixed seeds that each scenario runs with.
+const scenarioSeeds = 12
+
+// TestScenarios runs the numbered cases under testdata/scenarios; each file's first line says which failure it guards
+// against.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/scenarios/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		steps := readSteps(t, file)
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			for seed := uint64(1); seed <= scenarioSeeds; seed++ {
+				t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+					f := newFleet(t, seed, nil)
+					f.converge(15 * time.Second)
+					f.sim.Run(5 * time.Second)
+					for _, s := range steps {
+						f.perform(s)
+					}
+					f.finish()
+				})
+			}
+		})
+	}
+}
+
+func readSteps(t testing.TB, file string) []string {
+	data, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = data.Close() }()
+	var steps []string
+	for s := bufio.NewScanner(data); s.Scan(); {
+		if line := strings.TrimSpace(s.Text()); line != "" && !strings.HasPrefix(line, "#") {
+			steps = append(steps, line)
+		}
+	}
+	return steps
+}
+
+// perform runs one step of a scenario.
+func (f *fleet) perform(step string) {
+	f.t.Helper()
+	w := strings.Fields(step)
+	arg := func(i int) string {
+		if i >= len(w) {
+			f.t.Fatalf("step %q lacks an argument", step)
+		}
+		return w[i]
+	}
+	switch w[0] {
+	case "run":
+		f.sim.Run(f.duration(arg(1)))
+	case "accept":
+		f.accept(nil)
+	case "converge":
+		f.converge(f.duration(arg(1)))
+	case "converge-thawed":
+		f.convergeWithout(f.duration(arg(1)), func(n string) bool { return slices.Contains(f.frozen, n) })
+	case "converge-reachable":
+		f.convergeWithout(f.duration(arg(2)), func(n string) bool { return f.sim.Config(n).Region == arg(1) })
+	case "kill":
+		for _, n := range f.named(arg(1), w[2:]) {
+			f.sim.Kill(n)
+		}
+	case "kill-others":
+		for _, n := range f.sim.Nodes() {
+			if f.sim.Config(n).Region == arg(1) && !slices.Contains(f.frozen, n) {
+				f.sim.Kill(n)
+			}
+		}
+	case "replay":
+		f.replay()
+	case "restart":
+		for _, n := range f.sim.Nodes() {
+			f.sim.Restart(n)
+		}
+	case "freeze":
+		for _, n := range f.named(arg(1), w[2:]) {
+			f.frozen = append(f.frozen, n)
+			f.sim.Freeze(n)
+		}
+	case "thaw":
+		for _, n := range f.frozen {
+			f.sim.Thaw(n)
+		}
+		f.frozen = nil
+	case "cut":
+		f.cut[arg(1)] = true
+	case "heal":
+		clear(f.cut)
+	case "store":
+		f.sim.Store().SetOut(arg(1) == "out")
+	case "lose":
+		share, err := strconv.ParseFloat(arg(1), 64)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.sim.Store().Lose = share
+	case "leases":
+		f.requireLeases()
+	default:
+		f.t.Fatalf("unknown step %q", step)
+	}
+}
+
+func (f *fleet) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return d
+}
+
+// named returns the nodes that a step names: "relay <dc> <index>", "relays <dc>", "gateway <region>", "half", "all",
+// "node <address>", "centre <dc>".
+func (f *fleet) named(what string, args []string) []string {
+	f.t.Helper()
+	switch what {
+	case "relay":
+		return []string{f.holder(args[0], int(args[1][0]-'0'))}
+	case "relays":
+		return []string{f.holder(args[0], 0), f.holder(args[0], 1)}
+	case "gateway":
+		return []string{f.holder(args[0]+"-a", 0)}
+	case "node":
+		return args
+	case "all":
+		return f.sim.Nodes()
+	case "centre":
+		return slices.DeleteFunc(slices.Clone(f.sim.Nodes()), func(n string) bool { return f.sim.Config(n).DataCentre != args[0] })
+	case "half":
+		ns := slices.Clone(f.sim.Nodes())
+		f.sim.Rand().Shuffle(len(ns), func(i, j int) { ns[i], ns[j] = ns[j], ns[i] })
+		return ns[:len(ns)/2]
+	}
+	f.t.Fatalf("unknown nodes %q", what)
+	return nil
+}
+
+// requireLeases requires that each data centre with at least two living nodes has two different living holders.
+func (f *fleet) requireLeases() {
+	f.t.Helper()
+	for _, dc := range f.centres() {
+		a, b := f.holder(dc, 0), f.holder(dc, 1)
+		living := 0
+		for _, n := range f.named("centre", []string{dc}) {
+			if f.sim.Alive(n) {
+				living++
+			}
+		}
+		if living >= 2 && (a == b || a == "" || b == "" || !f.sim.Alive(a) || !f.sim.Alive(b)) {
+			f.t.Errorf("%s has the relays %q and %q", dc, a, b)
+		}
+	}
+}
+
+func (f *fleet) centres() []string {
+	var dcs []string
+	for _, n := range f.sim.Nodes() {
+		if dc := f.sim.Config(n).DataCentre; !slices.Contains(dcs, dc) {
+			dcs = append(dcs, dc)
+		}
+	}
+	return dcs
+}
--- /dev/null
+++ b/mesh/relayer/server.go
@@ -0,0 +1,210 @@
+package relayer
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"wisteriaspoke.example/mesh/differ"
+)
+
+const (
+	// pulsePeriod bounds the silence to clients while the store takes no renewals; it is longer than renewPeriod so
+	// that a renewal triggers the pulse in ordinary times.
+	pulsePeriod = 1200 * time.Millisecond
+	// clientTimeout is how long a silent client is counted and served.
+	clientTimeout = 5 * time.Second
+	// wholeRate bounds whole-state answers per second, from the design page.
+	wholeRate = 200
+)
+
+// subscriber is a node that this relay serves.
+type subscriber struct {
+	sub       subscribe
+	heard     time.Time
+	sent      time.Time // of the last delta
+	version   uint64    // of the last delta, or as the subscriber said
+	digest    uint64
+	changes   int // of the table that the subscriber has
+	nextTable time.Time
+	waits     bool // for the floor
+}
+
+type deltaKey struct {
+	subscription string
+	base, target uint64
+	digest       uint64
+}
+
+type server struct {
+	clients  map[string]*subscriber
+	whole    bucket
+	deltas   map[deltaKey]*differ.Delta // of the confirmed version only
+	cached   uint64                     // version that the cache leads to
+	pulsedAt time.Time
+}
+
+func newServer() server {
+	return server{
+		clients: map[string]*subscriber{}, whole: newBucket(wholeRate, wholeRate), deltas: map[deltaKey]*differ.Delta{},
+	}
+}
+
+func (r *relayer) tickServer() {
+	if r.seat < 0 {
+		return
+	}
+	for address, c := range r.server.clients {
+		if r.now.Sub(c.heard) > clientTimeout {
+			delete(r.server.clients, address)
+		}
+	}
+	if r.now.Sub(r.server.pulsedAt) >= pulsePeriod {
+		r.pulseAll()
+	}
+}
+
+func (r *relayer) receiveSubscribe(from string, m *subscribe) {
+	if r.seat < 0 {
+		return
+	}
+	if m.Relay {
+		r.answerRelay(from, m)
+		return
+	}
+	c := r.server.clients[from]
+	fresh := c == nil
+	if fresh {
+		c = &subscriber{changes: -1}
+		r.server.clients[from] = c
+	}
+	resent := c.sub.Push == m.Push && r.now.Sub(c.sent) < lagPatience
+	c.sub, c.heard = *m, r.now
+	if !resent || m.Pull {
+		c.version, c.digest = m.Version, m.Digest
+	}
+	c.waits = m.Stamp > 0
+	if c.waits && !r.answerFloor(from, c) {
+		r.readHead()
+	}
+	if fresh {
+		r.pulse(from, c)
+	}
+	if m.Pull || (m.Push && !resent) {
+		r.push(from, c)
+	}
+}
+
+func (r *relayer) answerRelay(from string, m *subscribe) {
+	latest := r.supply.latest
+	if m.Version >= latest.Version() {
+		return
+	}
+	base, ok := r.supply.at(m.Version)
+	if !ok || base.Digest() != m.Digest {
+		base = differ.State{}
+	}
+	d := differ.Between(base, latest)
+	r.send(from, deltaKind, &d)
+}
+
+// push sends the subscriber what it lacks of the confirmed state.
+func (r *relayer) push(address string, c *subscriber) {
+	target := r.supply.current()
+	if target.Version() == 0 || c.version > target.Version() {
+		return
+	}
+	d := r.delta(c, target)
+	if d == nil {
+		return
+	}
+	if d.Base() == 0 && !r.server.whole.take(r.now, 0) {
+		r.send(address, laterKind, &later{Wait: (lagPatience + r.jitter(lagPatience)).Milliseconds()})
+		return
+	}
+	c.sent, c.version, c.digest = r.now, target.Version(), d.Digest()
+	r.send(address, deltaKind, d)
+}
+
+// delta returns what leads the subscriber to the target: nil if nothing does, the whole if its base is unknown.
+func (r *relayer) delta(c *subscriber, target differ.State) *differ.Delta {
+	if r.server.cached != target.Version() {
+		r.server.cached = target.Version()
+		clear(r.server.deltas)
+	}
+	key := deltaKey{c.sub.Service + " " + strings.Join(c.sub.Demanded, " "), c.version, target.Version(), c.digest}
+	if d, ok := r.server.deltas[key]; ok {
+		return d
+	}
+	next := target.Filter(c.sub.Service, c.sub.Demanded)
+	var d *differ.Delta
+	if next.Version() != c.version || next.Digest() != c.digest {
+		base, ok := r.supply.at(c.version)
+		base = base.Filter(c.sub.Service, c.sub.Demanded)
+		if !ok || base.Digest() != c.digest || base.Version() == next.Version() {
+			base = differ.State{}
+		}
+		between := differ.Between(base, next)
+		d = &between
+	}
+	r.server.deltas[key] = d
+	return d
+}
+
+// pushClients spreads a newly confirmed version: deltas to those that take them, the version alone to the others.
+func (r *relayer) pushClients() {
+	for _, address := range slices.Sorted(maps.Keys(r.server.clients)) {
+		c := r.server.clients[address]
+		if c.sub.Push {
+			r.push(address, c)
+		} else {
+			r.pulse(address, c)
+		}
+	}
+}
+
+func (r *relayer) pulseAll() {
+	r.server.pulsedAt = r.now
+	for _, address := range slices.Sorted(maps.Keys(r.server.clients)) {
+		r.pulse(address, r.server.clients[address])
+	}
+}
+
+// pulse tells a subscriber the confirmed version and the relays: always those of the own data centre, the others when
+// a holder changed and every tablePeriod, spread over the subscribers.
+func (r *relayer) pulse(address string, c *subscriber) {
+	whole := c.changes != r.table.changes || !r.now.Before(c.nextTable)
+	if whole {
+		c.changes = r.table.changes
+		c.nextTable = r.now.Add(subscriberTable/2 + r.jitter(subscriberTable))
+	}
+	gateways := map[string]bool{}
+	for _, h := range r.remoteGateways() {
+		gateways[h.holder] = true
+	}
+	r.send(address, pulseKind, &pulse{
+		Version: r.supply.confirmed, Nodes: r.fleet(), Out: r.store.out,
+		Seats: r.table.seats(r.now, func(h *holding) bool {
+			if h.centre == r.config.DataCentre {
+				return true
+			}
+			return whole && h.live(r.now) && (h.region == r.config.Region || gateways[h.holder])
+		}),
+	})
+}
+
+// subscriberTable is how often a subscriber gets the relays outside of its data centre, which it needs only when both
+// of its own are gone.
+const subscriberTable = 20 * time.Second
+
+// fleet returns the number of nodes of the data centre that this relay hears, with itself.
+func (r *relayer) fleet() int {
+	n := 1
+	for _, c := range r.server.clients {
+		if c.sub.Centre == r.config.DataCentre {
+			n++
+		}
+	}
+	return n
+}
