registrar: announce upstreams, own and spread endpoint sets

Ruled out: a message for each endpoint (needs tombstones); sending sets with each heartbeat (control bytes).

--- /dev/null
+++ b/mesh/notice/doc.go
@@ -0,0 +1,2 @@
+// Package notice holds the bodies of the membership messages between nodes.
+package notice
--- /dev/null
+++ b/mesh/notice/sets.go
@@ -0,0 +1,156 @@
+package notice
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"wisteriaspoke.example/mesh/group"
+)
+
+// Digest tells which sets a relay holds, as one sum for each data centre.
+type Digest struct{ w digest }
+
+type digest struct {
+	_    struct{} `cbor:",toarray"`
+	Sums map[string]uint64
+}
+
+// NewDigest returns a digest; the key is a data centre, or empty for the receiver's whole subscription.
+func NewDigest(sums map[string]uint64) *Digest { return &Digest{w: digest{Sums: sums}} }
+
+// Sums returns the sum for each scope, which must not be changed.
+func (d Digest) Sums() map[string]uint64 { return d.w.Sums }
+
+// MarshalCBOR writes the digest's own format.
+func (d Digest) MarshalCBOR() ([]byte, error) { return cbor.Marshal(d.w) }
+
+// UnmarshalCBOR reads the digest's own format.
+func (d *Digest) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &d.w) }
+
+// Mark is the version of one set.
+type Mark struct {
+	dataCentre string
+	service    string
+	epoch      uint64
+	sequence   uint64
+}
+
+type mark struct {
+	_          struct{} `cbor:",toarray"`
+	DataCentre string
+	Service    string
+	Epoch      uint64
+	Sequence   uint64
+}
+
+// NewMark returns the version of a set.
+func NewMark(g group.Group) Mark {
+	return Mark{dataCentre: g.DataCentre(), service: g.Service(), epoch: g.Epoch(), sequence: g.Sequence()}
+}
+
+// Group returns an empty group of the version, to compare with.
+func (m Mark) Group() group.Group {
+	return group.New(m.dataCentre, m.service, m.epoch, m.sequence, nil)
+}
+
+// MarshalCBOR writes the mark's own format.
+func (m Mark) MarshalCBOR() ([]byte, error) {
+	return cbor.Marshal(mark{DataCentre: m.dataCentre, Service: m.service, Epoch: m.epoch, Sequence: m.sequence})
+}
+
+// UnmarshalCBOR reads the mark's own format.
+func (m *Mark) UnmarshalCBOR(data []byte) error {
+	var w mark
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return err
+	}
+	*m = Mark{dataCentre: w.DataCentre, service: w.Service, epoch: w.Epoch, sequence: w.Sequence}
+	return nil
+}
+
+// Pull asks for the sets of some scopes that are newer than those held.
+type Pull struct{ w pull }
+
+type pull struct {
+	_      struct{} `cbor:",toarray"`
+	Scopes []string
+	Held   []Mark
+}
+
+// NewPull returns a request; scopes are as in a Digest, or empty for everything.
+func NewPull(scopes []string, held []Mark) *Pull { return &Pull{w: pull{Scopes: scopes, Held: held}} }
+
+// Scopes returns the scopes asked for, which must not be changed.
+func (p Pull) Scopes() []string { return p.w.Scopes }
+
+// Held returns the versions that the sender has, which must not be changed.
+func (p Pull) Held() []Mark { return p.w.Held }
+
+// MarshalCBOR writes the request's own format.
+func (p Pull) MarshalCBOR() ([]byte, error) { return cbor.Marshal(p.w) }
+
+// UnmarshalCBOR reads the request's own format.
+func (p *Pull) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &p.w) }
+
+// Sets carries sets of endpoints and departures that a set may not show yet.
+type Sets struct{ w sets }
+
+type sets struct {
+	_          struct{} `cbor:",toarray"`
+	Groups     []group.Group
+	Departures []Departure
+	Complete   bool
+}
+
+// NewSets returns a message with sets; complete says that it ends the answer to a Pull without scopes.
+func NewSets(groups []group.Group, departures []Departure, complete bool) *Sets {
+	return &Sets{w: sets{Groups: groups, Departures: departures, Complete: complete}}
+}
+
+// Groups returns the sets, which must not be changed.
+func (s Sets) Groups() []group.Group { return s.w.Groups }
+
+// Departures returns the departures, which must not be changed.
+func (s Sets) Departures() []Departure { return s.w.Departures }
+
+// Complete reports whether the message ends the answer to a Pull without scopes.
+func (s Sets) Complete() bool { return s.w.Complete }
+
+// MarshalCBOR writes the message's own format.
+func (s Sets) MarshalCBOR() ([]byte, error) { return cbor.Marshal(s.w) }
+
+// UnmarshalCBOR reads the message's own format.
+func (s *Sets) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &s.w) }
+
+// Departure says that one incarnation of an endpoint takes no new calls, whatever a set says.
+type Departure struct{ w departure }
+
+type departure struct {
+	_           struct{} `cbor:",toarray"`
+	Address     string
+	DataCentre  string
+	Service     string
+	Incarnation uint64
+}
+
+// NewDeparture returns the departure of one incarnation of an endpoint.
+func NewDeparture(address, dataCentre, service string, incarnation uint64) Departure {
+	return Departure{w: departure{Address: address, DataCentre: dataCentre, Service: service, Incarnation: incarnation}}
+}
+
+// Address returns the endpoint's address.
+func (d Departure) Address() string { return d.w.Address }
+
+// DataCentre returns the endpoint's data centre.
+func (d Departure) DataCentre() string { return d.w.DataCentre }
+
+// Service returns the endpoint's service.
+func (d Departure) Service() string { return d.w.Service }
+
+// Incarnation returns the last incarnation that departed.
+func (d Departure) Incarnation() uint64 { return d.w.Incarnation }
+
+// MarshalCBOR writes the departure's own format.
+func (d Departure) MarshalCBOR() ([]byte, error) { return cbor.Marshal(d.w) }
+
+// UnmarshalCBOR reads the departure's own format.
+func (d *Departure) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &d.w) }
--- /dev/null
+++ b/mesh/registrar/scenario/fleet.go
@@ -0,0 +1,274 @@
+package scenario
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"wisteriaspoke.example/mesh/config"
+	"wisteriaspoke.example/mesh/controller"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/registrar"
+	"wisteriaspoke.example/mesh/roster"
+	"wisteriaspoke.example/mesh/service"
+	"wisteriaspoke.example/mesh/simulator"
+)
+
+// LeaseTime is how long after a relay's death another node takes its lease at the earliest.
+const LeaseTime = 3 * time.Second
+
+// startTime is the time between a node's start and its upstream being ready.
+const startTime = 100 * time.Millisecond
+
+// rosterSpread is the time within which all nodes learn of a change of relays.
+const rosterSpread = 50 * time.Millisecond
+
+// Shape is the size of a fleet.
+type Shape struct {
+	Regions  int // with two data centres each
+	Nodes    int
+	Services int
+	Depends  int // services that each service depends on; 0 subscribes every node to all
+}
+
+// Fleet is a simulated fleet with scripted leases; one goroutine uses it.
+type Fleet struct {
+	*Observer
+	shape   Shape
+	sim     *simulator.Simulator
+	rand    *rand.Rand
+	centres []string
+	nodes   map[string][]string // addresses by data centre
+	seats   map[string]*[2]seat // leases by data centre
+	rosters map[string]roster.Roster
+	config  config.Config
+}
+
+type seat struct {
+	holder string
+	epoch  uint64
+}
+
+// New returns a fleet at the start of virtual time; build makes a node's machines, and nil means only its registrar.
+func New(seed uint64, s Shape, build func(machine.Config) *controller.Controller) *Fleet {
+	if build == nil {
+		build = func(c machine.Config) *controller.Controller {
+			return &controller.Controller{Machines: []machine.Machine{registrar.New(c)}}
+		}
+	}
+	f := &Fleet{
+		shape: s, sim: simulator.New(seed, "r0"), rand: rand.New(rand.NewPCG(seed, 2)),
+		nodes: map[string][]string{}, seats: map[string]*[2]seat{}, rosters: map[string]roster.Roster{},
+	}
+	f.Observer = newObserver()
+	f.sim.Build = build
+	f.sim.Published = f.published
+	f.config = f.configure()
+	for r := range s.Regions {
+		f.centres = append(f.centres, fmt.Sprintf("r%d-a", r), fmt.Sprintf("r%d-b", r))
+	}
+	for i := range s.Nodes {
+		f.add(i)
+	}
+	for _, dc := range f.centres {
+		f.seats[dc] = &[2]seat{{f.nodes[dc][0], 1}, {f.nodes[dc][1], 1}}
+	}
+	f.Refresh()
+	return f
+}
+
+// configure returns a configuration in which each service depends on the ones that follow it.
+func (f *Fleet) configure() config.Config {
+	services := map[string]service.Service{}
+	for i := range f.shape.Services {
+		depends := "[]"
+		for d := range f.shape.Depends {
+			if d == 0 {
+				depends = "["
+			} else {
+				depends = depends[:len(depends)-1] + ","
+			}
+			depends += fmt.Sprintf("%q]", serviceName((i+d+1)%f.shape.Services))
+		}
+		var s service.Service
+		spec := fmt.Sprintf(`{"name":%q,"version":"1","depends":%s}`, serviceName(i), depends)
+		if err := s.UnmarshalJSON([]byte(spec)); err != nil {
+			panic(err)
+		}
+		services[s.Name()] = s
+	}
+	return config.New(1, "ordinary", services, nil)
+}
+
+func serviceName(i int) string { return fmt.Sprintf("s%d", i) }
+
+func (f *Fleet) add(i int) {
+	dc := f.centres[i%len(f.centres)]
+	address := fmt.Sprintf("10.%d.%d.%d:7000", i%len(f.centres), i/256, i%256)
+	f.nodes[dc] = append(f.nodes[dc], address)
+	f.sim.Add(machine.Config{
+		Node: address, DataCentre: dc, Region: dc[:len(dc)-2], Service: serviceName(i / len(f.centres) % f.shape.Services),
+		Version: "1", Slots: 12,
+	})
+	f.begin(address)
+}
+
+// begin gives a started node what its relayer and its data path would.
+func (f *Fleet) begin(address string) {
+	f.started(address, f.sim.Config(address).Incarnation)
+	f.sim.After(time.Millisecond, func() {
+		f.sim.Inject(address, event.NewLocal(event.Config, f.config))
+		f.sim.Inject(address, event.NewLocal(event.Roster, f.rosters[address]))
+	})
+	incarnation := f.sim.Config(address).Incarnation
+	f.sim.After(startTime, func() {
+		if f.sim.Alive(address) && f.sim.Config(address).Incarnation == incarnation {
+			f.sim.Inject(address, event.NewLocal(event.Upstream, endpoint.Ready))
+		}
+	})
+}
+
+// Sim returns the simulator.
+func (f *Fleet) Sim() *simulator.Simulator { return f.sim }
+
+// Centres returns the names of the data centres.
+func (f *Fleet) Centres() []string { return f.centres }
+
+// In returns the addresses of a data centre's nodes.
+func (f *Fleet) In(dataCentre string) []string { return f.nodes[dataCentre] }
+
+// Holder returns the address of the node that holds a lease.
+func (f *Fleet) Holder(dataCentre string, index int) string { return f.seats[dataCentre][index].holder }
+
+// Relay reports whether the node holds a lease.
+func (f *Fleet) Relay(address string) bool {
+	dc := f.sim.Config(address).DataCentre
+	return f.seats[dc][0].holder == address || f.seats[dc][1].holder == address
+}
+
+// Leave makes a node's upstream say that it leaves.
+func (f *Fleet) Leave(address string) {
+	f.sim.Inject(address, event.NewLocal(event.Upstream, endpoint.Leaving))
+}
+
+// Kill ends a node. If it held a lease, another node takes it once it has expired.
+func (f *Fleet) Kill(address string) {
+	f.sim.Kill(address)
+	f.Expire(address)
+}
+
+// Expire lets the leases of a node run out, as when it is frozen or cannot reach the store.
+func (f *Fleet) Expire(address string) {
+	dc := f.sim.Config(address).DataCentre
+	for i := range f.seats[dc] {
+		if f.seats[dc][i].holder != address {
+			continue
+		}
+		f.sim.After(LeaseTime, func() { f.vacate(dc, i, address) })
+	}
+}
+
+// vacate ends a lease and lets another node take it a little later.
+func (f *Fleet) vacate(dc string, index int, address string) {
+	s := &f.seats[dc][index]
+	if s.holder != address {
+		return
+	}
+	s.holder = ""
+	f.Refresh()
+	f.sim.After(time.Duration(f.rand.Int64N(int64(300*time.Millisecond))), func() { f.fill(dc, index) })
+}
+
+func (f *Fleet) fill(dc string, index int) {
+	s := &f.seats[dc][index]
+	if s.holder != "" {
+		return
+	}
+	for _, n := range f.nodes[dc] {
+		if f.sim.Alive(n) && !f.Relay(n) && f.Views(n) > 0 {
+			s.holder = n
+			s.epoch++
+			f.Refresh()
+			return
+		}
+	}
+	f.sim.After(time.Second, func() { f.fill(dc, index) })
+}
+
+// Restart starts a killed node again at the same address.
+func (f *Fleet) Restart(address string) {
+	f.sim.Restart(address)
+	f.begin(address)
+}
+
+// Refresh gives every node whose view of the relays changed its new roster.
+func (f *Fleet) Refresh() {
+	gateways := f.gateways()
+	for _, dc := range f.centres {
+		for _, n := range f.nodes[dc] {
+			next := f.roster(n, dc, gateways)
+			if next.Equal(f.rosters[n]) && len(f.rosters) == len(f.sim.Nodes()) {
+				continue
+			}
+			f.rosters[n] = next
+			f.sim.After(time.Duration(f.rand.Int64N(int64(rosterSpread))), func() {
+				f.sim.Inject(n, event.NewLocal(event.Roster, f.rosters[n]))
+			})
+		}
+	}
+}
+
+// gateways returns the gateway of each region: its first relay.
+func (f *Fleet) gateways() map[string]string {
+	gs := map[string]string{}
+	for _, dc := range f.centres {
+		for _, h := range f.holders(dc) {
+			region := dc[:len(dc)-2]
+			if gs[region] == "" {
+				gs[region] = h
+			}
+		}
+	}
+	return gs
+}
+
+func (f *Fleet) holders(dc string) []string {
+	var hs []string
+	for _, s := range f.seats[dc] {
+		if s.holder != "" {
+			hs = append(hs, s.holder)
+		}
+	}
+	return hs
+}
+
+func (f *Fleet) roster(address, dc string, gateways map[string]string) roster.Roster {
+	relays := f.holders(dc)
+	fields := roster.Fields{Seat: -1, Relays: relays}
+	for i, s := range f.seats[dc] {
+		if s.holder == address {
+			fields.Seat, fields.Epoch = i, s.epoch
+		}
+	}
+	if fields.Seat < 0 {
+		return roster.New(fields)
+	}
+	region := dc[:len(dc)-2]
+	fields.Owner = relays[0] == address
+	fields.Gateway = gateways[region] == address
+	for _, other := range f.centres {
+		if other != dc && other[:len(other)-2] == region {
+			fields.Region = append(fields.Region, f.holders(other)...)
+		}
+	}
+	for r, g := range gateways {
+		if r != region {
+			fields.Remote = append(fields.Remote, g)
+		}
+	}
+	slices.Sort(fields.Remote)
+	return roster.New(fields)
+}
--- /dev/null
+++ b/mesh/registrar/scenario/observer.go
@@ -0,0 +1,110 @@
+package scenario
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/group"
+)
+
+// life is one incarnation of an address.
+type life struct {
+	address     string
+	incarnation uint64
+}
+
+type seen struct {
+	node string
+	life life
+}
+
+// Observer is the data path of all nodes: it holds the sets that each was handed and notes what must not happen.
+type Observer struct {
+	views  map[string]map[string]group.Group // by node, then by data centre and service
+	gone   map[seen]bool                     // departures that a node has seen
+	faults []string
+}
+
+func newObserver() *Observer {
+	return &Observer{views: map[string]map[string]group.Group{}, gone: map[seen]bool{}}
+}
+
+// started forgets what the life of a node before had seen.
+func (o *Observer) started(address string, _ uint64) {
+	o.views[address] = map[string]group.Group{}
+	for s := range o.gone {
+		if s.node == address {
+			delete(o.gone, s)
+		}
+	}
+}
+
+func (o *Observer) published(now time.Time, node string, value any) {
+	g, ok := value.(group.Group)
+	if !ok {
+		return
+	}
+	key := g.DataCentre() + "/" + g.Service()
+	old, known := o.views[node][key]
+	if known && old.Replaces(g) {
+		o.fault(now, node, "set %s went back from (%d, %d) to (%d, %d)", key, old.Epoch(), old.Sequence(), g.Epoch(), g.Sequence())
+	}
+	o.views[node][key] = g
+	for _, e := range g.Endpoints() {
+		s := seen{node: node, life: life{address: e.Address(), incarnation: e.Incarnation()}}
+		switch {
+		case e.State() == endpoint.Leaving:
+			o.gone[s] = true
+		case o.gone[s]:
+			o.fault(now, node, "endpoint %s came back as %s after leaving", e.Address(), e.State())
+		}
+	}
+}
+
+func (o *Observer) fault(now time.Time, node, format string, values ...any) {
+	o.faults = append(o.faults, fmt.Sprintf("%s %s: ", now.Format("15:04:05.000"), node)+fmt.Sprintf(format, values...))
+}
+
+// Faults returns what must not have happened: sets that went back and departed endpoints that returned.
+func (o *Observer) Faults() []string { return o.faults }
+
+// Views returns the number of sets that a node holds.
+func (o *Observer) Views(node string) int { return len(o.views[node]) }
+
+// State returns the state that a node sees of an endpoint, or the empty state if it is in no set.
+func (o *Observer) State(node, address string) endpoint.State {
+	for _, g := range o.views[node] {
+		for _, e := range g.Endpoints() {
+			if e.Address() == address {
+				return e.State()
+			}
+		}
+	}
+	return ""
+}
+
+// Endpoint returns what a node sees of an address.
+func (o *Observer) Endpoint(node, address string) (endpoint.Endpoint, bool) {
+	for _, g := range o.views[node] {
+		for _, e := range g.Endpoints() {
+			if e.Address() == address {
+				return e, true
+			}
+		}
+	}
+	return endpoint.Endpoint{}, false
+}
+
+// Ready returns the addresses of the ready endpoints that a node sees, with their incarnations.
+func (o *Observer) Ready(node string) map[string]uint64 {
+	ready := map[string]uint64{}
+	for _, g := range o.views[node] {
+		for _, e := range g.Endpoints() {
+			if e.State() == endpoint.Ready {
+				ready[e.Address()] = e.Incarnation()
+			}
+		}
+	}
+	return ready
+}
--- /dev/null
+++ b/mesh/suspecter/doc.go
@@ -0,0 +1,2 @@
+// Package suspecter decides from silence which endpoints of a set are suspect and which are dropped.
+package suspecter
