registrar: test departures, silence, takeover and store outages

Ruled out: a longer limit in the cut test; pulling at the first difference, which pulls during every crossing change. Conclusion: owners do not forget by age, and a difference stays noted until its own peer or a pull ends it.

--- a/mesh/registrar/catalogue.go
+++ b/mesh/registrar/catalogue.go
@@ -126,15 +126,6 @@
 	return gs
 }
 
-// of returns the sets of one service in all data centres.
-func (c *catalogue) of(service string) []group.Group {
-	var gs []group.Group
-	for _, dc := range c.services[service] {
-		gs = append(gs, c.sets[setKey{dataCentre: dc, service: service}])
-	}
-	return gs
-}
-
 // depart notes a departure and reports whether it was new.
 func (c *catalogue) depart(now time.Time, d notice.Departure) bool {
 	old, known := c.departures[d.Address()]
--- /dev/null
+++ b/mesh/registrar/departure_test.go
@@ -0,0 +1,75 @@
+package registrar_test
+
+import (
+	"testing"
+	"time"
+
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/registrar/scenario"
+)
+
+// departureBound is promise P8: an upstream that leaves gets no new work after this time.
+const departureBound = 3 * time.Second
+
+// out reports whether no running node would choose the endpoint.
+func out(f *scenario.Fleet, address string) bool {
+	for _, n := range f.Sim().Nodes() {
+		if f.Running(n) && n != address && f.State(n, address) == endpoint.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// ordinary returns a node of the data centre that holds no lease.
+func ordinary(f *scenario.Fleet, dataCentre string) string {
+	for _, n := range f.In(dataCentre) {
+		if !f.Relay(n) && f.Sim().Alive(n) {
+			return n
+		}
+	}
+	return ""
+}
+
+// Guards against calls to an upstream that leaves, with one failure of a relay at the same moment.
+func TestDepartureIsOutInTime(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		fault func(f *scenario.Fleet, dc string)
+	}{
+		{"no fault", func(*scenario.Fleet, string) {}},
+		{"owner killed", func(f *scenario.Fleet, dc string) { f.Kill(f.Holder(dc, 0)) }},
+		{"owner killed 1 ms later", func(f *scenario.Fleet, dc string) {
+			owner := f.Holder(dc, 0)
+			f.Sim().After(time.Millisecond, func() { f.Kill(owner) })
+		}},
+		{"owner frozen", func(f *scenario.Fleet, dc string) {
+			f.Freeze(f.Holder(dc, 0))
+		}},
+		{"second relay killed", func(f *scenario.Fleet, dc string) { f.Kill(f.Holder(dc, 1)) }},
+		{"first relay of another region frozen", func(f *scenario.Fleet, _ string) { f.Freeze(f.Holder("r2-b", 0)) }},
+		{"store out", func(f *scenario.Fleet, _ string) { f.Sim().Store().SetOut(true) }},
+	}
+	shapes := []scenario.Shape{today, {Regions: 3, Nodes: 60, Services: 5, Depends: 2}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, shape := range shapes {
+				for _, seed := range seeds {
+					f := started(t, seed, shape)
+					leaver := ordinary(f, "r0-b")
+					c.fault(f, "r0-b")
+					f.Leave(leaver)
+					if !f.Sim().RunUntil(departureBound, func() bool { return out(f, leaver) }) {
+						t.Errorf("seed %d, %d nodes: %s is still chosen after %v", seed, shape.Nodes, leaver, departureBound)
+					}
+					f.Sim().Run(20 * time.Second)
+					if !out(f, leaver) {
+						t.Errorf("seed %d, %d nodes: %s came back", seed, shape.Nodes, leaver)
+					}
+					check(t, seed, f)
+				}
+			}
+		})
+	}
+}
--- a/mesh/registrar/members.go
+++ b/mesh/registrar/members.go
@@ -107,7 +107,7 @@
 	}
 }
 
-// prune forgets members that were silent for long.
+// prune forgets members that were silent for long. An owner must not: it keeps silent members as last known good.
 func (ms *members) prune(now time.Time) {
 	for a, m := range ms.byAddress {
 		if now.Sub(m.heard) > memberLimit {
--- a/mesh/registrar/registrar.go
+++ b/mesh/registrar/registrar.go
@@ -111,7 +111,9 @@
 	r.depart(now)
 	r.decide(now)
 	r.save(now)
-	r.members.prune(now)
+	if r.owner == nil {
+		r.members.prune(now)
+	}
 }
 
 func (r *Registrar) local(now time.Time, e event.Event) {
@@ -143,7 +145,7 @@
 	case *notice.Interest:
 		r.subscribed(now, peer, b)
 	case *notice.Digest:
-		r.reader.note(now, peer, b)
+		r.note(now, peer, b)
 	case *notice.Pull:
 		r.pulled(now, peer, b)
 	case *notice.Sets:
--- a/mesh/registrar/registrar_test.go
+++ b/mesh/registrar/registrar_test.go
@@ -34,6 +34,7 @@
 
 // Guards against an announcement that does not reach every node.
 func TestAnnouncedEverywhere(t *testing.T) {
+	t.Parallel()
 	for _, seed := range seeds {
 		f := started(t, seed, today)
 		for _, n := range f.Sim().Nodes() {
--- a/mesh/registrar/scenario/fleet.go
+++ b/mesh/registrar/scenario/fleet.go
@@ -45,6 +45,7 @@
 	seats   map[string]*[2]seat // leases by data centre
 	rosters map[string]roster.Roster
 	config  config.Config
+	frozen  map[string]bool
 }
 
 type seat struct {
@@ -61,7 +62,7 @@
 	}
 	f := &Fleet{
 		shape: s, sim: simulator.New(seed, "r0"), rand: rand.New(rand.NewPCG(seed, 2)),
-		nodes: map[string][]string{}, seats: map[string]*[2]seat{}, rosters: map[string]roster.Roster{},
+		nodes: map[string][]string{}, seats: map[string]*[2]seat{}, rosters: map[string]roster.Roster{}, frozen: map[string]bool{},
 	}
 	f.Observer = newObserver()
 	f.sim.Build = build
@@ -156,11 +157,12 @@
 
 // Kill ends a node. If it held a lease, another node takes it once it has expired.
 func (f *Fleet) Kill(address string) {
+	delete(f.frozen, address)
 	f.sim.Kill(address)
 	f.Expire(address)
 }
 
-// Expire lets the leases of a node run out, as when it is frozen or cannot reach the store.
+// Expire lets the leases of a node run out, as when it cannot reach the store.
 func (f *Fleet) Expire(address string) {
 	dc := f.sim.Config(address).DataCentre
 	for i := range f.seats[dc] {
@@ -188,7 +190,7 @@
 		return
 	}
 	for _, n := range f.nodes[dc] {
-		if f.sim.Alive(n) && !f.Relay(n) && f.Views(n) > 0 {
+		if f.Running(n) && !f.Relay(n) && f.Views(n) > 0 {
 			s.holder = n
 			s.epoch++
 			f.Refresh()
@@ -198,6 +200,24 @@
 	f.sim.After(time.Second, func() { f.fill(dc, index) })
 }
 
+// Freeze pauses a node. A lease that it holds expires.
+func (f *Fleet) Freeze(address string) {
+	f.frozen[address] = true
+	f.sim.Freeze(address)
+	f.Expire(address)
+}
+
+// Running reports whether a node is alive and not paused, so that it can choose endpoints for calls.
+func (f *Fleet) Running(address string) bool { return f.sim.Alive(address) && !f.frozen[address] }
+
+// Thaw lets a frozen node go on. Its relayer then finds the lease expired.
+func (f *Fleet) Thaw(address string) {
+	delete(f.frozen, address)
+	f.sim.Thaw(address)
+	f.sim.Inject(address, event.NewTick())
+	f.sim.Inject(address, event.NewLocal(event.Roster, f.rosters[address]))
+}
+
 // Restart starts a killed node again at the same address.
 func (f *Fleet) Restart(address string) {
 	f.sim.Restart(address)
--- a/mesh/registrar/scenario/observer.go
+++ b/mesh/registrar/scenario/observer.go
@@ -108,3 +108,9 @@
 	}
 	return ready
 }
+
+// Version returns the epoch and sequence of the set that a node holds under a key such as r0-a/s0.
+func (o *Observer) Version(node, key string) [2]uint64 {
+	g := o.views[node][key]
+	return [2]uint64{g.Epoch(), g.Sequence()}
+}
--- a/mesh/registrar/subscribe.go
+++ b/mesh/registrar/subscribe.go
@@ -145,8 +145,10 @@
 	}
 }
 
-// note compares a digest later, unless it answers a new subscription: then the difference is real.
-func (rd *reader) note(now time.Time, peer string, d *notice.Digest) {
+// note compares a digest with the sets held. A difference is looked at again later, unless the digest answers a new
+// subscription: then it is real. A peer that holds the same sets does not hide another one that holds newer sets.
+func (r *Registrar) note(now time.Time, peer string, d *notice.Digest) {
+	rd := r.reader
 	at := now
 	if c := rd.contacts[peer]; c != nil && !c.next.IsZero() {
 		c.end()
@@ -154,8 +156,14 @@
 	}
 	for scope, sum := range d.Sums() {
 		old, known := rd.differences[scope]
+		if r.sum(scope) == sum {
+			if known && old.peer == peer {
+				delete(rd.differences, scope)
+			}
+			continue
+		}
 		if known && old.at.Before(at) {
-			at = old.at
+			continue
 		}
 		rd.differences[scope] = difference{peer: peer, sum: sum, at: at}
 	}
