--- /dev/null
+++ b/mesh/rollout/doc.go
@@ -0,0 +1,2 @@
+// Package rollout holds the stepwise change of one service to a new version, as it stands in the store.
+package rollout
--- /dev/null
+++ b/mesh/rollout/rollout.go
@@ -0,0 +1,194 @@
+package rollout
+
+import (
+	"encoding/json"
+	"time"
+
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/object"
+)
+
+// Plural is where rollouts stand in the store, one object for each service.
+const Plural = "rollouts"
+
+// State is the stage of a rollout.
+type State string
+
+// The states of a rollout, in the order in which a good version passes them; any may be followed by TakenBack.
+const (
+	Asked     State = "asked"      // no calls yet
+	Canary    State = "canary"     // the first small share
+	Widening  State = "widening"   // the share grows towards the whole
+	Settling  State = "settling"   // all calls; the old version can still take them back
+	Done      State = "done"       // final
+	TakenBack State = "taken back" // final; the old version has all calls
+)
+
+// Rollout is one immutable version of a rollout.
+type Rollout struct {
+	w wire
+}
+
+type wire struct {
+	ID       string     `json:"id"`
+	Service  string     `json:"service"`
+	From     string     `json:"from"`
+	To       string     `json:"to"`
+	State    State      `json:"state"`
+	Share    int        `json:"share"`
+	Deadline time.Time  `json:"deadline"`
+	Asked    time.Time  `json:"asked"`
+	Changed  time.Time  `json:"changed"`
+	Settle   int64      `json:"settle"` // milliseconds
+	Cancel   bool       `json:"cancel,omitempty"`
+	Reason   string     `json:"reason,omitempty"`
+	Next     string     `json:"next,omitempty"`
+	Epoch    uint64     `json:"epoch,omitempty"`
+	Evidence []Evidence `json:"evidence,omitempty"`
+	Token    string     `json:"token"`
+	Writer   string     `json:"writer,omitempty"`
+}
+
+// Evidence is what was seen of one route on both versions, with the judgement of it.
+type Evidence struct {
+	Route       string `json:"route"`
+	NewCalls    uint64 `json:"newcalls"`
+	NewFailures uint64 `json:"newfailures"`
+	OldCalls    uint64 `json:"oldcalls"`
+	OldFailures uint64 `json:"oldfailures"`
+	Verdict     string `json:"verdict"`
+}
+
+// Fields are the values of a new Rollout.
+type Fields struct {
+	ID, Service, From, To string
+	Deadline, Asked       time.Time
+	Settle                time.Duration
+	Token, Writer         string
+}
+
+// New returns a rollout in state Asked with a share of zero.
+func New(f Fields) Rollout {
+	return Rollout{w: wire{
+		ID: f.ID, Service: f.Service, From: f.From, To: f.To, State: Asked, Deadline: f.Deadline, Asked: f.Asked,
+		Changed: f.Asked, Settle: f.Settle.Milliseconds(), Token: f.Token, Writer: f.Writer,
+	}}
+}
+
+// Decode returns the rollout in a stored object; the zero Rollout for an object that does not stand.
+func Decode(o object.Object) (Rollout, error) {
+	var r Rollout
+	if len(o.Spec()) == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(o.Spec(), &r.w); err != nil {
+		return r, fault.Wrap(fault.Invalid, err, "the object rollouts/"+o.Name()+" is malformed", "start the move again")
+	}
+	return r, nil
+}
+
+// Encode returns the rollout's content as JSON.
+func (r Rollout) Encode() ([]byte, error) { return json.Marshal(r.w) }
+
+// MarshalJSON writes the rollout's own format.
+func (r Rollout) MarshalJSON() ([]byte, error) { return json.Marshal(r.w) }
+
+// UnmarshalJSON reads the rollout's own format.
+func (r *Rollout) UnmarshalJSON(data []byte) error { return json.Unmarshal(data, &r.w) }
+
+// ID returns the random identifier, which differs between two rollouts of one service.
+func (r Rollout) ID() string { return r.w.ID }
+
+// Service returns the service's name.
+func (r Rollout) Service() string { return r.w.Service }
+
+// From returns the old version.
+func (r Rollout) From() string { return r.w.From }
+
+// To returns the new version.
+func (r Rollout) To() string { return r.w.To }
+
+// State returns the stage.
+func (r Rollout) State() State { return r.w.State }
+
+// Finished reports whether the state is final; it is true of the zero Rollout.
+func (r Rollout) Finished() bool {
+	return r.w.State == "" || r.w.State == Done || r.w.State == TakenBack
+}
+
+// Share returns the new version's share in thousandths.
+func (r Rollout) Share() int { return r.w.Share }
+
+// Deadline returns the time by which the rollout must be done.
+func (r Rollout) Deadline() time.Time { return r.w.Deadline }
+
+// Asked returns when an operator asked for the rollout.
+func (r Rollout) Asked() time.Time { return r.w.Asked }
+
+// Changed returns when the state or the share last changed.
+func (r Rollout) Changed() time.Time { return r.w.Changed }
+
+// Settle returns how long the old version stays able to take all calls back after the whole share was reached.
+func (r Rollout) Settle() time.Duration { return time.Duration(r.w.Settle) * time.Millisecond }
+
+// Cancel reports whether an operator asked to take the rollout back.
+func (r Rollout) Cancel() bool { return r.w.Cancel }
+
+// Reason returns one sentence that says why the rollout is in its state.
+func (r Rollout) Reason() string { return r.w.Reason }
+
+// Next returns what comes next and why.
+func (r Rollout) Next() string { return r.w.Next }
+
+// Epoch returns the epoch of the lease under which the holder last wrote; zero before the first holder.
+func (r Rollout) Epoch() uint64 { return r.w.Epoch }
+
+// Evidence returns what was seen of each route, which must not be changed.
+func (r Rollout) Evidence() []Evidence { return r.w.Evidence }
+
+// Token returns the token of the last write.
+func (r Rollout) Token() string { return r.w.Token }
+
+// Writer returns who wrote last.
+func (r Rollout) Writer() string { return r.w.Writer }
+
+// WithState returns a copy in another state and share since the given time, with the reason and what comes next.
+func (r Rollout) WithState(s State, permille int, at time.Time, reason, next string) Rollout {
+	r.w.State = s
+	r.w.Share = permille
+	r.w.Changed = at
+	r.w.Reason = reason
+	r.w.Next = next
+	return r
+}
+
+// WithNext returns a copy that says something else of what comes next and why.
+func (r Rollout) WithNext(next string) Rollout {
+	r.w.Next = next
+	return r
+}
+
+// WithEvidence returns a copy with other evidence, which must not be changed afterwards.
+func (r Rollout) WithEvidence(evidence []Evidence) Rollout {
+	r.w.Evidence = evidence
+	return r
+}
+
+// WithCancel returns a copy in which an operator asks to take the rollout back.
+func (r Rollout) WithCancel() Rollout {
+	r.w.Cancel = true
+	return r
+}
+
+// WithWrite returns a copy marked with the token and the name of its writer.
+func (r Rollout) WithWrite(token, writer string) Rollout {
+	r.w.Token = token
+	r.w.Writer = writer
+	return r
+}
+
+// WithEpoch returns a copy written under the holder's lease epoch.
+func (r Rollout) WithEpoch(epoch uint64) Rollout {
+	r.w.Epoch = epoch
+	return r
+}
