Drive rollouts by sequential tests, a schedule and a lease

Adds judge (sequential probability ratio tests), scheduler (steps backwards from the deadline), roller (the machine) and roller/trial (a simulated fleet with modelled callers).

Ruled out: comparing the new version's rate with a point estimate of the old one; with few old calls its error counts against the new version. The test is conditional on the sum of both versions' failures instead.

--- /dev/null
+++ b/mesh/judge/cell.go
@@ -0,0 +1,58 @@
+package judge
+
+import "wisteriaspoke.example/mesh/outcome"
+
+// Cell holds what both versions did in one stratum over one stretch of time.
+type Cell struct {
+	Route  string
+	Region string // of the endpoint
+	Caller string // region of the caller, since the distance is part of the latency
+	New    outcome.Outcome
+	Old    outcome.Outcome
+	Cold   bool // an endpoint of the new version in the region joined within the cold start
+}
+
+type stratum struct{ route, region, caller string }
+
+func (c Cell) stratum() stratum { return stratum{c.Route, c.Region, c.Caller} }
+
+// tally is a pair of counts of both versions.
+type tally struct {
+	newCalls, newHits float64
+	oldCalls, oldHits float64
+}
+
+func (t tally) plus(o tally) tally {
+	t.newCalls += o.newCalls
+	t.newHits += o.newHits
+	t.oldCalls += o.oldCalls
+	t.oldHits += o.oldHits
+	return t
+}
+
+// failed counts a crash as a failure. Failures already holds calls without a whole response; the larger of the two
+// also covers a data path that counts a crash as a crash only.
+func failed(o outcome.Outcome) float64 {
+	return float64(min(o.Calls(), max(o.Failures(), o.Crashes())))
+}
+
+func failures(c Cell) tally {
+	return tally{float64(c.New.Calls()), failed(c.New), float64(c.Old.Calls()), failed(c.Old)}
+}
+
+// slow counts the calls in buckets above limit; a failed call may have ended early, so only bucket counts are used.
+func slow(c Cell, limit int) tally {
+	n, nh := above(c.New.Latency(), limit)
+	o, oh := above(c.Old.Latency(), limit)
+	return tally{n, nh, o, oh}
+}
+
+func above(latency [outcome.Buckets]uint64, limit int) (calls, hits float64) {
+	for i, n := range latency {
+		calls += float64(n)
+		if i > limit {
+			hits += float64(n)
+		}
+	}
+	return calls, hits
+}
--- /dev/null
+++ b/mesh/roller/collector.go
@@ -0,0 +1,134 @@
+package roller
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/event"
+)
+
+// passOnPeriod is how often a relay passes sums on. The nodes' own period of 1 s, this one and the judging period must
+// together stay below the 3 s within which a bad version gets no more calls.
+const passOnPeriod = 500 * time.Millisecond
+
+// holderSilence is how long the holder's last message is valid for passing counts to it.
+const holderSilence = 10 * time.Second
+
+// collector sums the counts of a data centre's nodes and passes them on to the holder and the gateways.
+type collector struct {
+	view    *view
+	sums    map[string]*dataCentreSum // by service
+	holders map[string]knownHolder    // by service
+	next    time.Time
+}
+
+type dataCentreSum struct {
+	report
+	senders map[string]*stream
+	changed bool
+}
+
+type knownHolder struct {
+	address string
+	epoch   uint64
+	heard   time.Time
+}
+
+func newCollector(v *view) *collector {
+	return &collector{view: v, sums: map[string]*dataCentreSum{}, holders: map[string]knownHolder{}}
+}
+
+func (c *collector) step(now time.Time, e event.Event) []effect.Effect {
+	switch e.Kind() {
+	case event.Received:
+		switch m := e.Message().Body().(type) {
+		case *counts:
+			if !m.Relayed {
+				c.take(e.Peer(), m)
+			}
+		case *holder:
+			return c.learn(now, e.Peer(), m)
+		}
+	case event.Tick:
+		if !now.Before(c.next) {
+			c.next = now.Add(passOnPeriod)
+			return c.passOn(now)
+		}
+	}
+	return nil
+}
+
+func (c *collector) take(peer string, m *counts) {
+	if !c.view.running(m.Service, m.Rollout) {
+		return
+	}
+	s := c.sums[m.Service]
+	if s == nil || s.rollout != m.Rollout {
+		s = &dataCentreSum{report: report{rollout: m.Rollout, totals: totals{}}, senders: map[string]*stream{}}
+		c.sums[m.Service] = s
+	}
+	from := s.senders[peer]
+	if from == nil {
+		from = &stream{}
+		s.senders[peer] = from
+	}
+	for _, o := range from.take(m) {
+		s.totals.add(o)
+		s.changed = true
+	}
+}
+
+// learn remembers the holder and, at a gateway, tells the other relays of the region.
+func (c *collector) learn(now time.Time, peer string, m *holder) []effect.Effect {
+	if m.Epoch < c.holders[m.Service].epoch {
+		return nil
+	}
+	c.holders[m.Service] = knownHolder{address: m.Address, epoch: m.Epoch, heard: now}
+	if peer != m.Address || !c.view.roster.Gateway() || slices.Contains(c.view.roster.Region(), peer) {
+		return nil
+	}
+	return c.view.sendAll(c.view.roster.Region(), holderKind, m)
+}
+
+func (c *collector) passOn(now time.Time) []effect.Effect {
+	var fs []effect.Effect
+	for _, service := range sortedKeys(c.sums) {
+		s := c.sums[service]
+		if !c.view.running(service, s.rollout) {
+			delete(c.sums, service)
+			continue
+		}
+		if !s.changed || !c.view.relay() {
+			continue
+		}
+		s.changed = false
+		s.sequence++
+		body := &counts{
+			Service: service, Rollout: s.rollout, Incarnation: c.view.node.Incarnation, Sequence: s.sequence,
+			Region: c.view.node.Region, Relayed: true, Outcomes: s.totals.sorted(),
+		}
+		fs = append(fs, c.view.sendAll(c.targets(now, service), countsKind, body)...)
+	}
+	return fs
+}
+
+// targets are the gateways, the region's relays (one of which may become the gateway), the holder and this node.
+func (c *collector) targets(now time.Time, service string) []string {
+	all := slices.Concat(c.view.roster.Region(), c.view.roster.Remote(), []string{c.view.node.Node})
+	if h := c.holders[service]; h.address != "" && now.Sub(h.heard) < holderSilence {
+		all = append(all, h.address)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/mesh/roller/reporter.go
@@ -0,0 +1,96 @@
+package roller
+
+import (
+	"time"
+
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/outcome"
+)
+
+// reporter sends the counts of this node's own calls to its relay.
+type reporter struct {
+	view   *view
+	relay  string
+	stream uint64
+	sent   map[string]*report // by service
+}
+
+type report struct {
+	rollout  string
+	sequence uint64
+	totals   totals
+}
+
+func newReporter(v *view) *reporter { return &reporter{view: v, sent: map[string]*report{}} }
+
+func (r *reporter) step(_ time.Time, e event.Event) []effect.Effect {
+	os, ok := e.Value().([]outcome.Outcome)
+	if !ok {
+		return nil
+	}
+	r.choose()
+	changed := map[string]bool{}
+	for _, o := range os {
+		if r.count(o) {
+			changed[o.Key().Service] = true
+		}
+	}
+	if r.relay == "" {
+		return nil
+	}
+	var fs []effect.Effect
+	for _, service := range sortedKeys(r.sent) {
+		if !changed[service] {
+			continue
+		}
+		p := r.sent[service]
+		p.sequence++
+		fs = append(fs, r.view.send(r.relay, countsKind, &counts{
+			Service: service, Rollout: p.rollout, Incarnation: r.view.node.Incarnation, Stream: r.stream,
+			Sequence: p.sequence, Region: r.view.node.Region, Outcomes: p.totals.sorted(),
+		}))
+	}
+	return fs
+}
+
+// choose takes the first linked relay. Another relay gets a new stream from zero, because it cannot know what the
+// first one has already passed on.
+func (r *reporter) choose() {
+	relays := r.view.roster.Relays()
+	relay := ""
+	for _, a := range relays {
+		if r.view.peers[a] || a == r.view.node.Node {
+			relay = a
+			break
+		}
+	}
+	if relay == "" && len(relays) > 0 {
+		relay = relays[0]
+	}
+	if relay == r.relay {
+		return
+	}
+	r.relay = relay
+	r.stream++
+	r.sent = map[string]*report{}
+}
+
+func (r *reporter) count(o outcome.Outcome) bool {
+	k := o.Key()
+	s, ok := r.view.underWay(k.Service)
+	if !ok {
+		delete(r.sent, k.Service)
+		return false
+	}
+	if k.Version != s.Stable() && k.Version != s.Candidate() {
+		return false
+	}
+	p := r.sent[k.Service]
+	if p == nil || p.rollout != s.Rollout() {
+		p = &report{rollout: s.Rollout(), totals: totals{}}
+		r.sent[k.Service] = p
+	}
+	p.totals.add(o)
+	return true
+}
--- /dev/null
+++ b/mesh/roller/trial/report.go
@@ -0,0 +1,75 @@
+package trial
+
+import (
+	"cmp"
+	"time"
+
+	"wisteriaspoke.example/mesh/outcome"
+	"wisteriaspoke.example/mesh/rollout"
+)
+
+// Report is what was seen of one trial.
+type Report struct {
+	faults  []string
+	rollout rollout.Rollout
+	took    time.Duration
+	inTime  bool
+	harm    float64
+	reacted time.Duration
+	stopped time.Duration
+	verdict bool
+	states  []string
+}
+
+func (t *Trial) report() Report {
+	r := Report{
+		faults: t.oracle.faults, rollout: t.rollout(), took: t.oracle.ended.Sub(t.asked),
+		harm: float64(t.traffic.harmed) / float64(max(t.traffic.calls, 1)), verdict: !t.oracle.verdict.IsZero(),
+		states: t.oracle.states,
+	}
+	r.inTime = t.oracle.finished && !t.oracle.ended.After(t.asked.Add(t.Deadline))
+	if r.verdict {
+		r.stopped = max(0, t.traffic.latest.Sub(t.oracle.verdict))
+		if !t.traffic.evident.IsZero() {
+			r.reacted = max(0, t.traffic.latest.Sub(t.traffic.evident))
+		}
+	}
+	return r
+}
+
+// Faults returns the broken promises.
+func (r Report) Faults() []string { return r.faults }
+
+// Rollout returns the rollout as it ended.
+func (r Report) Rollout() rollout.Rollout { return r.rollout }
+
+// Took returns the time from the request to the end.
+func (r Report) Took() time.Duration { return r.took }
+
+// InTime reports whether the rollout ended by its deadline.
+func (r Report) InTime() bool { return r.inTime }
+
+// Done reports whether the rollout was done by its deadline.
+func (r Report) Done() bool { return r.inTime && r.rollout.State() == rollout.Done }
+
+// TakenBack reports whether the rollout was taken back.
+func (r Report) TakenBack() bool { return r.rollout.State() == rollout.TakenBack }
+
+// Harm returns the share of the service's calls that the old version would have served better.
+func (r Report) Harm() float64 { return r.harm }
+
+// Reacted returns the time from when the calls made so far proved the version bad to its last call.
+func (r Report) Reacted() time.Duration { return r.reacted }
+
+// Stopped returns the time from the verdict to the version's last call.
+func (r Report) Stopped() time.Duration { return r.stopped }
+
+// Verdict reports whether a verdict was reached.
+func (r Report) Verdict() bool { return r.verdict }
+
+// States returns the states that the rollout passed, with the time and the share.
+func (r Report) States() []string { return r.states }
+
+func compareKeys(a, b outcome.Key) int {
+	return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Region, b.Region))
+}
--- /dev/null
+++ b/mesh/roller/trial/traffic.go
@@ -0,0 +1,246 @@
+package trial
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"wisteriaspoke.example/mesh/config"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/judge"
+	"wisteriaspoke.example/mesh/outcome"
+	"wisteriaspoke.example/mesh/share"
+	"wisteriaspoke.example/mesh/verdict"
+)
+
+const (
+	batch        = 100 * time.Millisecond
+	reportPeriod = time.Second
+	// spread is the standard deviation of the logarithm of latencies; the p95 is then 2.7 times the median.
+	spread = 0.6
+	// p95 is the ratio of the 95th percentile to the median.
+	p95 = 2.683
+)
+
+// Call is what a model may depend on.
+type Call struct {
+	Route    string
+	At       time.Duration // since the request for the rollout
+	Age      time.Duration // since the new version's first call
+	Permille int           // share of the new version at the caller
+}
+
+// Model is how one version behaves.
+type Model struct {
+	Failure func(Call) float64 // chance of a failure
+	Median  func(Call) float64 // latency in milliseconds
+}
+
+// Steady returns a model with constant values.
+func Steady(failure, median float64) Model {
+	return Model{
+		Failure: func(Call) float64 { return failure },
+		Median:  func(Call) float64 { return median },
+	}
+}
+
+// traffic makes calls from every node.
+type traffic struct {
+	trial   *Trial
+	rand    *rand.Rand
+	routes  []string
+	weights []float64
+	shares  map[string]share.Share
+	blocked map[string]string // rollout by node
+	pending map[string]map[outcome.Key]outcome.Outcome
+	phase   map[string]time.Time
+	first   time.Time // first call of the new version
+	latest  time.Time // latest call of the new version
+	calls   uint64
+	harmed  uint64
+	// shadow judges all calls as they are made, to tell when the evidence existed.
+	shadow  *judge.Judge
+	cells   map[[2]string]judge.Cell
+	evident time.Time
+}
+
+func newTraffic(t *Trial) *traffic {
+	f := &traffic{
+		trial: t, rand: t.rand(2), shares: map[string]share.Share{}, blocked: map[string]string{},
+		pending: map[string]map[outcome.Key]outcome.Outcome{}, phase: map[string]time.Time{},
+		shadow: judge.New(From, To), cells: map[[2]string]judge.Cell{},
+	}
+	for r := range t.Routes {
+		f.routes = append(f.routes, r)
+	}
+	slices.Sort(f.routes)
+	total := 0.0
+	for _, r := range f.routes {
+		total += t.Routes[r]
+		f.weights = append(f.weights, total)
+	}
+	return f
+}
+
+func (t *Trial) published(now time.Time, node string, value any) {
+	switch v := value.(type) {
+	case config.Config:
+		t.traffic.shares[node] = v.Shares()[Service]
+		t.oracle.inForce(node, v.Shares()[Service])
+	case verdict.Verdict:
+		t.traffic.blocked[node] = v.Rollout()
+		t.oracle.judged(now)
+	}
+}
+
+func (f *traffic) make() {
+	now := f.trial.sim.Now()
+	nodes := f.trial.sim.Nodes()
+	each := f.trial.Rate * batch.Seconds() / float64(len(nodes))
+	for _, n := range nodes {
+		if !f.trial.fleet.runs(n) {
+			continue
+		}
+		for range poisson(f.rand, each) {
+			f.call(now, n)
+		}
+		f.flush(now, n)
+	}
+	f.observe(now)
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	limit, n := math.Exp(-mean), 0
+	for p := r.Float64(); p > limit; p *= r.Float64() {
+		n++
+	}
+	return n
+}
+
+func (f *traffic) call(now time.Time, node string) {
+	s := f.shares[node]
+	fresh := s.Candidate() != "" && f.blocked[node] != s.Rollout() && f.rand.IntN(share.Whole) < s.Permille()
+	version := From
+	if fresh || s.Stable() == To {
+		version = To
+	}
+	c := Call{Route: f.route(), At: now.Sub(f.trial.asked), Permille: s.Permille()}
+	if version == To {
+		if f.first.IsZero() {
+			f.first = now
+		}
+		c.Age = now.Sub(f.first)
+		f.latest = now
+		f.trial.oracle.called(now, node)
+	}
+	f.finish(node, version, c)
+}
+
+func (f *traffic) route() string {
+	u := f.rand.Float64() * f.weights[len(f.weights)-1]
+	i, _ := slices.BinarySearch(f.weights, u)
+	return f.routes[min(i, len(f.routes)-1)]
+}
+
+// finish draws the outcome. Both versions use the same draws, so a call is harmed if the old version would have served it.
+func (f *traffic) finish(node, version string, c Call) {
+	u, z := f.rand.Float64(), math.Exp(spread*f.rand.NormFloat64())
+	old := f.trial.Old
+	m := old
+	if version == To {
+		m = f.trial.New
+	}
+	failed, took := u < m.Failure(c), m.Median(c)*z
+	f.calls++
+	if version == To {
+		limit := p95 * old.Median(c)
+		bad := failed && u >= old.Failure(c)
+		late := took > limit && old.Median(c)*z <= limit
+		if bad || late {
+			f.harmed++
+		}
+	}
+	f.record(node, version, c.Route, failed, took)
+}
+
+func (f *traffic) record(node, version, route string, failed bool, took float64) {
+	k := outcome.Key{Service: Service, Version: version, Route: route, Region: f.trial.sim.Config(node).Region}
+	failures := uint64(0)
+	if failed {
+		failures = 1
+	}
+	var latency [outcome.Buckets]uint64
+	latency[bucket(took)] = 1
+	o := outcome.New(k, 1, failures, 0, 0, latency)
+	byKey := f.pending[node]
+	if byKey == nil {
+		byKey = map[outcome.Key]outcome.Outcome{}
+		f.pending[node] = byKey
+	}
+	if sum, ok := byKey[k]; ok {
+		byKey[k] = sum.Plus(o)
+	} else {
+		byKey[k] = o
+	}
+	cell := f.cells[[2]string{route, k.Region}]
+	cell.Route, cell.Region, cell.Caller = route, k.Region, k.Region
+	if version == To {
+		cell.New = cell.New.Plus(o)
+	} else {
+		cell.Old = cell.Old.Plus(o)
+	}
+	f.cells[[2]string{route, k.Region}] = cell
+}
+
+func bucket(ms float64) int {
+	for i := range outcome.Buckets - 1 {
+		if ms < float64(int(1)<<i) {
+			return i
+		}
+	}
+	return outcome.Buckets - 1
+}
+
+// flush raises the outcomes of a node once a second.
+func (f *traffic) flush(now time.Time, node string) {
+	if f.phase[node].IsZero() {
+		f.phase[node] = now.Add(time.Duration(f.rand.Int64N(int64(reportPeriod))))
+	}
+	if now.Before(f.phase[node]) {
+		return
+	}
+	f.phase[node] = now.Add(reportPeriod)
+	var keys []outcome.Key
+	for k := range f.pending[node] {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, compareKeys)
+	var os []outcome.Outcome
+	for _, k := range keys {
+		os = append(os, f.pending[node][k])
+	}
+	f.pending[node] = nil
+	f.trial.sim.Inject(node, event.NewLocal(event.Outcomes, os))
+}
+
+// observe gives the calls of all nodes to the shadow judge without delay.
+func (f *traffic) observe(now time.Time) {
+	if f.first.IsZero() || !f.evident.IsZero() {
+		f.cells = map[[2]string]judge.Cell{}
+		return
+	}
+	var cells []judge.Cell
+	for _, r := range f.routes {
+		for _, region := range regions {
+			if c, ok := f.cells[[2]string{r, region}]; ok {
+				cells = append(cells, c)
+			}
+		}
+	}
+	f.cells = map[[2]string]judge.Cell{}
+	f.shadow.Add(now, cells)
+	if f.shadow.Result().Finding() == judge.Bad {
+		f.evident = now
+	}
+}
--- /dev/null
+++ b/mesh/roller/trial/trial.go
@@ -0,0 +1,169 @@
+package trial
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"wisteriaspoke.example/mesh/controller"
+	"wisteriaspoke.example/mesh/head"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/roller"
+	"wisteriaspoke.example/mesh/rollout"
+	"wisteriaspoke.example/mesh/simulator"
+)
+
+// Names that all trials use.
+const (
+	Service = "ergebnis"
+	From    = "v1"
+	To      = "v2"
+)
+
+const (
+	step     = 50 * time.Millisecond
+	askedAt  = 2 * time.Second // the relays are up by then
+	tailTime = 5 * time.Second // watched after the end, to see that nothing reverts
+)
+
+var regions = []string{"obb", "mfr", "swb"}
+
+// Trial is one rollout; exported fields are set before Run.
+type Trial struct {
+	Seed     uint64
+	Nodes    int     // for each data centre
+	Rate     float64 // calls a second of the service
+	Routes   map[string]float64
+	Old, New Model
+	Deadline time.Duration // from the request
+	Settle   time.Duration
+	Appear   time.Duration // when the new version's endpoints are announced, from the request
+	// Disturb schedules faults; nil is allowed.
+	Disturb func(*Trial)
+	// Wrap replaces a node's rollout machine; nil is allowed.
+	Wrap func(machine.Config, machine.Machine) machine.Machine
+
+	sim     *simulator.Simulator
+	fleet   *fleet
+	traffic *traffic
+	oracle  *oracle
+	asked   time.Time
+}
+
+// Simulator returns the simulated fleet, for Disturb.
+func (t *Trial) Simulator() *simulator.Simulator { return t.sim }
+
+// At runs f when d has passed since the request.
+func (t *Trial) At(d time.Duration, f func()) { t.sim.After(askedAt+d, f) }
+
+// Run runs the rollout to its end, at most 30 s beyond its deadline, and returns what was seen.
+func (t *Trial) Run() Report {
+	t.sim = simulator.New(t.Seed, regions[0])
+	t.sim.Build = t.build
+	t.sim.Published = t.published
+	t.oracle = newOracle(t)
+	t.fleet = newFleet(t)
+	t.traffic = newTraffic(t)
+	t.store()
+	t.fleet.start()
+	t.every(step, t.fleet.update)
+	t.every(batch, t.traffic.make)
+	t.sim.After(askedAt, t.ask)
+	if t.Disturb != nil {
+		t.Disturb(t)
+	}
+	limit := askedAt + t.Deadline + 30*time.Second
+	t.sim.RunUntil(limit, func() bool {
+		t.oracle.look()
+		return t.oracle.finished
+	})
+	end := t.sim.Now().Add(tailTime)
+	t.sim.RunUntil(2*tailTime, func() bool {
+		t.oracle.look()
+		return t.sim.Now().After(end)
+	})
+	return t.report()
+}
+
+func (t *Trial) build(c machine.Config) *controller.Controller {
+	m := machine.Machine(roller.New(c))
+	if t.Wrap != nil {
+		m = t.Wrap(c, m)
+	}
+	return &controller.Controller{Machines: []machine.Machine{publisher{}, m}}
+}
+
+func (t *Trial) every(d time.Duration, f func()) {
+	var again func()
+	again = func() {
+		f()
+		t.sim.After(d, again)
+	}
+	t.sim.After(d, again)
+}
+
+func (t *Trial) store() {
+	h := head.Head{}.WithPreset("everyday", map[string]string{Service: "00"}, "setup", "operator")
+	t.sim.Store().Put(head.Plural, head.Name, must(h.Encode()))
+}
+
+func (t *Trial) ask() {
+	t.asked = t.sim.Now()
+	r := rollout.New(rollout.Fields{
+		ID: fmt.Sprintf("move-%d", t.Seed), Service: Service, From: From, To: To,
+		Deadline: t.asked.Add(t.Deadline), Asked: t.asked, Settle: t.Settle, Token: "asked", Writer: "operator",
+	})
+	t.sim.Store().Put(rollout.Plural, Service, must(r.Encode()))
+}
+
+// Cancel asks to take the rollout back, as an operator's tool does.
+func (t *Trial) Cancel() {
+	r := t.rollout()
+	t.sim.Store().Put(rollout.Plural, Service, must(r.WithCancel().WithWrite("cancelled", "operator").Encode()))
+}
+
+// Preset puts another preset in force, as an operator's tool does.
+func (t *Trial) Preset(name string) {
+	h, err := head.Decode(t.sim.Store().Object(head.Plural, head.Name))
+	if err != nil {
+		panic(err)
+	}
+	n := h.WithPreset(name, map[string]string{Service: "01"}, name, "operator")
+	t.sim.Store().Put(head.Plural, head.Name, must(n.Encode()))
+}
+
+// Holder returns the node that the store shows as holder, or the empty string.
+func (t *Trial) Holder() string { return t.lease().Holder }
+
+type leaseSpec struct {
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+func (t *Trial) lease() leaseSpec {
+	var l leaseSpec
+	if spec := t.sim.Store().Object("leases", "roller-"+Service).Spec(); len(spec) > 0 {
+		if err := json.Unmarshal(spec, &l); err != nil {
+			panic(err)
+		}
+	}
+	return l
+}
+
+func (t *Trial) rollout() rollout.Rollout {
+	r, err := rollout.Decode(t.sim.Store().Object(rollout.Plural, Service))
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+func (t *Trial) rand(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(t.Seed, stream)) }
+
+func must(data []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
--- /dev/null
+++ b/mesh/scheduler/decision.go
@@ -0,0 +1,36 @@
+package scheduler
+
+// Action is what happens to the share next.
+type Action string
+
+// The actions.
+const (
+	Hold     Action = "hold"
+	Widen    Action = "widen"
+	Finish   Action = "finish"
+	TakeBack Action = "take back"
+)
+
+// Decision is an immutable plan for the next moment.
+type Decision struct {
+	action Action
+	share  int
+	reason string
+	next   string
+	late   bool
+}
+
+// Action returns what to do now.
+func (d Decision) Action() Action { return d.action }
+
+// Share returns the share to widen to, in thousandths.
+func (d Decision) Share() int { return d.share }
+
+// Reason returns one sentence that says why.
+func (d Decision) Reason() string { return d.reason }
+
+// Next returns what comes next and what it waits for.
+func (d Decision) Next() string { return d.next }
+
+// Late reports whether the deadline cannot be met safely at the present rate of calls.
+func (d Decision) Late() bool { return d.late }
