roller: scenarios for good, bad and disturbed rollouts

Cause: the machine had been seen only with three models and no faults.

An oracle looks at the store after each event.

Ruled out: checking the lease's expiry alone. A holder whose clock stands still during a pause does not notice the expiry; only the epoch stops it.

--- a/mesh/roller/job.go
+++ b/mesh/roller/job.go
@@ -60,7 +60,6 @@
 	sent     time.Time
 	next     time.Time
 	serial   serial
-	writes   serial
 }
 
 func newJob(v *view, e evidence, r rulings, service string, now time.Time) *job {
--- a/mesh/roller/roller_test.go
+++ b/mesh/roller/roller_test.go
@@ -1,20 +1,295 @@
 package roller_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/machine"
 	"wisteriaspoke.example/mesh/roller/trial"
 )
 
-func TestTrial(t *testing.T) {
-	for seed := uint64(1); seed <= 3; seed++ {
-		for name, n := range map[string]trial.Model{"good": trial.Steady(0.002, 10), "bad": trial.Steady(0.2, 10), "slow": trial.Steady(0.002, 30)} {
-			tr := &trial.Trial{Seed: seed, Nodes: 3, Rate: 600, Routes: map[string]float64{"a": 8, "b": 3, "c": 1},
-				Old: trial.Steady(0.002, 10), New: n, Deadline: 10 * time.Minute, Settle: 20 * time.Second}
-			start := time.Now()
-			r := tr.Run()
-			t.Log(name, seed, r.Rollout().State(), r.Took(), r.InTime(), r.Harm(), r.Reacted(), r.Stopped(), r.Faults(), r.States(), r.Rollout().Reason(), time.Since(start))
+// running bounds the trials that run at the same time, because the machine is shared.
+var running = make(chan struct{}, 4)
+
+// seeds is the number of fixed seeds for each scenario.
+const seeds = 4
+
+const (
+	comfortable = 150 * time.Second
+	tight       = 60 * time.Second
+)
+
+func newTrial(seed uint64) *trial.Trial {
+	return &trial.Trial{
+		Seed: seed, Nodes: 3, Rate: 600, Routes: map[string]float64{"read": 8, "confirm": 3, "upload": 1},
+		Old: trial.Steady(0.002, 10), New: trial.Steady(0.002, 10), Deadline: comfortable, Settle: 10 * time.Second,
+	}
+}
+
+// failing returns a model that fails with the rate while the condition holds.
+func failing(rate float64, while func(trial.Call) bool) trial.Model {
+	m := trial.Steady(0.002, 10)
+	m.Failure = func(c trial.Call) float64 {
+		if while(c) {
+			return rate
 		}
+		return 0.002
 	}
+	return m
+}
+
+func always(trial.Call) bool { return true }
+
+func between(from, to time.Duration) func(trial.Call) bool {
+	return func(c trial.Call) bool { return c.At >= from && c.At < to }
+}
+
+// scenario is one kind of rollout with what must come of it for every seed.
+type scenario struct {
+	name   string
+	set    func(*trial.Trial)
+	done   bool   // else taken back
+	reason string // part of the final reason
+}
+
+func (s scenario) run(t *testing.T, seed uint64) trial.Report {
+	tr := newTrial(seed)
+	s.set(tr)
+	running <- struct{}{}
+	r := tr.Run()
+	<-running
+	where := fmt.Sprintf("%s, seed %d (%s)", s.name, seed, strings.Join(r.States(), ", "))
+	t.Logf("%s: harm %.4f reacted %s stopped %s verdict %v: %s", where, r.Harm(), r.Reacted(), r.Stopped(), r.Verdict(), r.Rollout().Reason())
+	for _, f := range r.Faults() {
+		t.Errorf("%s: %s", where, f)
+	}
+	switch {
+	case s.done && !r.Done():
+		t.Errorf("%s: got %q after %s, want done in time: %s", where, r.Rollout().State(), r.Took(), r.Rollout().Reason())
+	case !s.done && !r.TakenBack():
+		t.Errorf("%s: got %q after %s, want taken back", where, r.Rollout().State(), r.Took())
+	case !strings.Contains(r.Rollout().Reason(), s.reason):
+		t.Errorf("%s: got reason %q, want %q in it", where, r.Rollout().Reason(), s.reason)
+	}
+	return r
+}
+
+func (s scenario) runAll(t *testing.T, check func(*testing.T, trial.Report)) {
+	for seed := uint64(1); seed <= seeds; seed++ {
+		t.Run(fmt.Sprintf("%s/%d", s.name, seed), func(t *testing.T) {
+			t.Parallel()
+			r := s.run(t, seed)
+			if check != nil {
+				check(t, r)
+			}
+		})
+	}
+}
+
+// Guards against good versions that miss their deadline for want of evidence or by a verdict on noise.
+func TestGoodVersionsAreDone(t *testing.T) {
+	for _, s := range []scenario{
+		{name: "comfortable deadline", done: true, set: func(*trial.Trial) {}},
+		{name: "tight deadline", done: true, set: func(t *trial.Trial) { t.Deadline = tight }},
+		{name: "another preset", done: true, set: func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) {
+				t.At(15*time.Second, func() { t.Preset("peak") })
+				t.At(40*time.Second, func() { t.Preset("everyday") })
+			}
+		}},
+		{name: "upstreams appear late", done: true, set: func(t *trial.Trial) { t.Appear = 25 * time.Second }},
+		{name: "trouble on both sides", done: true, set: func(t *trial.Trial) {
+			t.Old = failing(0.3, between(15*time.Second, 30*time.Second))
+			t.New = t.Old
+		}},
+		{name: "both sides slow", done: true, set: func(t *trial.Trial) {
+			m := trial.Steady(0.002, 10)
+			m.Median = func(c trial.Call) float64 {
+				if between(15*time.Second, 30*time.Second)(c) {
+					return 40
+				}
+				return 10
+			}
+			t.Old, t.New = m, m
+		}},
+	} {
+		s.runAll(t, func(t *testing.T, r trial.Report) {
+			if r.Verdict() {
+				t.Errorf("a verdict was reached on a good version")
+			}
+		})
+	}
+}
+
+// Guards against bad versions that stay in force, or harm more than 1% of the service's calls up to the deadline.
+func TestBadVersionsAreTakenBack(t *testing.T) {
+	for _, s := range []scenario{
+		{name: "fails at once", set: func(t *trial.Trial) { t.New = failing(0.2, always) }},
+		{name: "fails all calls", set: func(t *trial.Trial) { t.New = failing(1, always) }},
+		{name: "slow at once", reason: "slower", set: func(t *trial.Trial) { t.New = trial.Steady(0.002, 30) }},
+		{name: "fails later", set: func(t *trial.Trial) {
+			t.New = failing(0.2, func(c trial.Call) bool { return c.Age > 30*time.Second })
+		}},
+		{name: "fails at the whole share", set: func(t *trial.Trial) {
+			t.New = failing(0.2, func(c trial.Call) bool { return c.Permille == 1000 })
+		}},
+		{name: "fails one route", reason: "route upload", set: func(t *trial.Trial) {
+			t.New = failing(0.3, func(c trial.Call) bool { return c.Route == "upload" })
+		}},
+		{name: "fails under load", set: func(t *trial.Trial) {
+			t.New = failing(0.2, func(c trial.Call) bool { return c.Permille >= 250 })
+		}},
+	} {
+		s.runAll(t, func(t *testing.T, r trial.Report) {
+			if r.Reacted() > 3*time.Second {
+				t.Errorf("the last call came %s after the evidence", r.Reacted())
+			}
+		})
+	}
+}
+
+// freezeHolder pauses whoever holds the lease.
+func freezeHolder(t *trial.Trial, at, pause time.Duration) {
+	t.At(at, func() {
+		h := t.Holder()
+		if h == "" {
+			return
+		}
+		t.Freeze(h)
+		t.Simulator().After(pause, func() { t.Thaw(h) })
+	})
+}
+
+// Guards against rollouts that stop, go wrong or have two writers when the holder fails.
+func TestHolderFails(t *testing.T) {
+	fails := func(at time.Duration) func(*trial.Trial) {
+		return func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) { t.At(at, func() { t.Kill(t.Holder()) }) }
+		}
+	}
+	for _, s := range []scenario{
+		{name: "killed at the canary share", done: true, set: fails(8 * time.Second)},
+		{name: "killed while widening", done: true, set: fails(35 * time.Second)},
+		{name: "killed with a bad version", set: func(t *trial.Trial) {
+			fails(2 * time.Second)(t)
+			t.New = failing(0.2, always)
+		}},
+		{name: "frozen past its lease", done: true, set: func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) { freezeHolder(t, 14*time.Second, 9*time.Second) }
+		}},
+		{name: "frozen again and again", done: true, set: func(t *trial.Trial) {
+			t.Deadline = 200 * time.Second
+			t.Disturb = func(t *trial.Trial) {
+				for i := range 5 {
+					freezeHolder(t, time.Duration(10+15*i)*time.Second, 5*time.Second)
+				}
+			}
+		}},
+	} {
+		s.runAll(t, nil)
+	}
+}
+
+// Guards against shares that grow while the store is out, and against verdicts that need the store.
+func TestStoreFails(t *testing.T) {
+	out := func(from, to time.Duration) func(*trial.Trial) {
+		return func(t *trial.Trial) {
+			t.At(from, func() { t.Simulator().Store().SetOut(true) })
+			t.At(to, func() { t.Simulator().Store().SetOut(false) })
+		}
+	}
+	loses := func(t *trial.Trial) { t.Simulator().Store().Lose = 0.3 }
+	for _, s := range []scenario{
+		{name: "out for a third of the time", done: true, set: func(t *trial.Trial) {
+			t.Disturb = out(20*time.Second, 70*time.Second)
+		}},
+		{name: "out while a version turns bad", set: func(t *trial.Trial) {
+			t.Disturb = out(20*time.Second, 70*time.Second)
+			t.New = failing(0.2, func(c trial.Call) bool { return c.Age > 30*time.Second })
+		}},
+		{name: "out and holder killed while a version turns bad", set: func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) {
+				out(20*time.Second, 70*time.Second)(t)
+				t.At(25*time.Second, func() { t.Kill(t.Holder()) })
+			}
+			t.New = failing(0.2, func(c trial.Call) bool { return c.Age > 30*time.Second })
+		}},
+		{name: "loses answers", done: true, set: func(t *trial.Trial) { t.Disturb = loses }},
+		{name: "loses answers for a bad version", set: func(t *trial.Trial) {
+			t.Disturb = loses
+			t.New = failing(0.2, always)
+		}},
+	} {
+		s.runAll(t, nil)
+	}
+}
+
+// Guards against a cancelled rollout that goes on, and a rollout without upstreams that never ends.
+func TestEndsWithoutVerdict(t *testing.T) {
+	for _, s := range []scenario{
+		{name: "cancelled", reason: "operator", set: func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) { t.At(30*time.Second, func() { t.Cancel() }) }
+		}},
+		{name: "no upstreams", reason: "no upstream", set: func(t *trial.Trial) {
+			t.Deadline, t.Appear = tight, time.Hour
+		}},
+		{name: "deadline too close", reason: "out of time", set: func(t *trial.Trial) { t.Deadline = 25 * time.Second }},
+		{name: "too few calls", reason: "out of time", set: func(t *trial.Trial) { t.Rate = 10 }},
+	} {
+		s.runAll(t, nil)
+	}
+}
+
+// stopped lets a machine's clock stand still while its node is paused, as on a suspended virtual machine; then the
+// lease's expiry is not noticed and only the epoch in the head keeps the old holder from writing.
+type stopped struct {
+	machine machine.Machine
+	lost    *time.Duration
+	blind   bool // hides the epochs of others, as if their check had been forgotten
+}
+
+func (s stopped) Step(now time.Time, e event.Event) []effect.Effect {
+	if s.blind {
+		e = withoutEpochs(e)
+	}
+	return s.machine.Step(now.Add(-*s.lost), e)
+}
+
+func pausedClock(blind bool) func(*trial.Trial) {
+	return func(t *trial.Trial) {
+		lost := map[string]*time.Duration{}
+		t.Wrap = func(c machine.Config, m machine.Machine) machine.Machine {
+			lost[c.Node] = new(time.Duration)
+			return stopped{machine: m, lost: lost[c.Node], blind: blind}
+		}
+		t.Disturb = func(t *trial.Trial) {
+			for i := range 6 {
+				at, pause := time.Duration(4+9*i)*time.Second, 6*time.Second
+				t.At(at, func() {
+					h := t.Holder()
+					if h == "" {
+						return
+					}
+					t.Freeze(h)
+					t.Simulator().After(pause, func() {
+						*lost[h] += pause
+						t.Thaw(h)
+					})
+				})
+			}
+		}
+	}
+}
+
+// Guards against two holders whose writes both stand.
+func TestHolderWhoseClockStoodStill(t *testing.T) {
+	s := scenario{name: "clock stood still", done: true, set: func(t *trial.Trial) {
+		pausedClock(false)(t)
+		t.Deadline = 200 * time.Second
+	}}
+	s.runAll(t, nil)
 }
--- a/mesh/roller/trial/fleet.go
+++ b/mesh/roller/trial/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"wisteriaspoke.example/mesh/config"
@@ -38,6 +39,7 @@
 	rosters map[string]roster.Roster
 	epochs  map[string]uint64
 	seats   map[string][]string
+	changed bool   // the seats, since the last rosters
 	head    string // revision last distributed
 	version map[string]uint64
 	appear  bool
@@ -116,12 +118,15 @@
 			}
 		}
 		for _, n := range f.members[c] {
-			if len(kept) < 2 && f.runs(n) && !contains(kept, n) {
+			if len(kept) < 2 && f.runs(n) && !slices.Contains(kept, n) {
 				kept = append(kept, n)
 				f.epochs[n]++
 			}
 		}
-		f.seats[c] = kept
+		if !slices.Equal(f.seats[c], kept) {
+			f.seats[c] = kept
+			f.changed = true
+		}
 	}
 }
 
@@ -130,15 +135,6 @@
 	return gone.IsZero() || f.trial.sim.Now().Sub(gone) < relayLoss
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 // gateway returns the lowest relay of a region.
 func (f *fleet) gateway(region string) string {
 	for _, c := range f.centres {
@@ -150,9 +146,13 @@
 }
 
 func (f *fleet) roster() {
+	if !f.changed {
+		return
+	}
+	f.changed = false
 	for _, c := range f.centres {
 		for _, n := range f.members[c] {
-			if r := f.rosterOf(n, c); !r.Equal(f.rosters[n]) || f.rosters[n].Seat() == 0 && r.Seat() == -1 {
+			if r := f.rosterOf(n, c); !r.Equal(f.rosters[n]) {
 				f.rosters[n] = r
 				f.trial.sim.Inject(n, event.NewLocal(event.Roster, r))
 			}
--- a/mesh/roller/trial/traffic.go
+++ b/mesh/roller/trial/traffic.go
@@ -89,7 +89,9 @@
 		t.traffic.shares[node] = v.Shares()[Service]
 		t.oracle.inForce(node, v.Shares()[Service])
 	case verdict.Verdict:
-		t.traffic.blocked[node] = v.Rollout()
+		if !t.Deaf {
+			t.traffic.blocked[node] = v.Rollout()
+		}
 		t.oracle.judged(now)
 	}
 }
--- a/mesh/roller/trial/trial.go
+++ b/mesh/roller/trial/trial.go
@@ -43,6 +43,8 @@
 	Disturb func(*Trial)
 	// Wrap replaces a node's rollout machine; nil is allowed.
 	Wrap func(machine.Config, machine.Machine) machine.Machine
+	// Deaf makes data paths ignore verdicts, to show that the oracle finds it.
+	Deaf bool
 
 	sim     *simulator.Simulator
 	fleet   *fleet
--- a/mesh/roller/view.go
+++ b/mesh/roller/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"wisteriaspoke.example/mesh/config"
 	"wisteriaspoke.example/mesh/effect"
@@ -108,7 +107,5 @@
 	return fs
 }
 
-// ours reports whether a store request or watch belongs to this machine.
-func ours(id string) bool { return strings.HasPrefix(id, prefix) }
-
+// prefix starts the identifier of every store request and watch of this machine.
 const prefix = "roller:"
