--- a/mesh/judge/judge.go
+++ b/mesh/judge/judge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/rollout"
+	"wisteriaspoke.example/mesh/share"
 )
 
 const (
@@ -44,6 +45,7 @@
 // Judge accumulates evidence on one rollout.
 type Judge struct {
 	from, to  string
+	whole     bool // the new version has the whole share
 	all       pair
 	routes    map[string]*pair
 	baselines map[stratum]*baseline
@@ -73,8 +75,9 @@
 	}
 }
 
-// Step starts the evidence for the next share. Evidence against the new version is kept.
-func (j *Judge) Step() {
+// Step starts the evidence for the next share, in thousandths. Evidence against the new version is kept.
+func (j *Judge) Step(permille int) {
+	j.whole = permille >= share.Whole
 	j.all.failures.step()
 	j.all.slow.step()
 	for _, p := range j.routes {
@@ -88,7 +91,7 @@
 	if j.bad != nil {
 		return
 	}
-	calm, alone := !inTrouble(cells), withoutOld(cells)
+	calm, alone := !inTrouble(cells), j.whole && withoutOld(cells)
 	sums := map[string]*sum{}
 	all := &sum{}
 	for _, c := range cells {
@@ -255,8 +258,8 @@
 // Estimate returns the calls of the new version that a faultless step needs when it has the permille of all calls.
 func Estimate(permille int) uint64 {
 	p := newPair()
-	share := float64(permille) / 1000
-	return max(p.failures.needed(goodLimit(), share), p.slow.needed(goodLimit(), share))
+	part := float64(permille) / share.Whole
+	return max(p.failures.needed(goodLimit(), part), p.slow.needed(goodLimit(), part))
 }
 
 // Result returns the judgement on the evidence so far; bad is final.
@@ -265,11 +268,11 @@
 		return *j.bad
 	}
 	r := Result{finding: Good, calls: uint64(j.all.failures.calls), evidence: j.evidence()}
-	share := 0.0
+	part := 0.0
 	if whole := j.last.newCalls + j.last.oldCalls; whole > 0 {
-		share = j.last.newCalls / whole
+		part = j.last.newCalls / whole
 	}
-	r.needed = max(missing(j.all.failures.calls), j.all.failures.needed(goodLimit(), share), j.all.slow.needed(goodLimit(), share))
+	r.needed = max(missing(j.all.failures.calls), j.all.failures.needed(goodLimit(), part), j.all.slow.needed(goodLimit(), part))
 	for _, name := range j.names() {
 		p := j.routes[name]
 		if j.rare(p) {
--- a/mesh/roller/assessor.go
+++ b/mesh/roller/assessor.go
@@ -70,7 +70,7 @@
 			delete(a.cases, service)
 		case s.Permille() != c.share.Permille():
 			c.close(now, a.view)
-			c.judge.Step()
+			c.judge.Step(s.Permille())
 			c.share = s
 		default:
 			c.share = s
@@ -89,6 +89,7 @@
 			service: m.Service, share: s, judge: judge.New(s.Stable(), s.Candidate()), senders: map[string]*stream{},
 			window: map[cellKey]judge.Cell{}, opened: now,
 		}
+		c.judge.Step(s.Permille())
 		a.cases[m.Service] = c
 	}
 	from := c.senders[peer]
--- a/mesh/roller/collector.go
+++ b/mesh/roller/collector.go
@@ -21,6 +21,7 @@
 	view    *view
 	sums    map[string]*dataCentreSum // by service
 	holders map[string]knownHolder    // by service
+	stream  uint64
 	next    time.Time
 }
 
@@ -66,7 +67,8 @@
 	}
 	s := c.sums[m.Service]
 	if s == nil || s.rollout != m.Rollout {
-		s = &dataCentreSum{report: report{rollout: m.Rollout, totals: totals{}}, senders: map[string]*stream{}}
+		c.stream++
+		s = &dataCentreSum{report: report{rollout: m.Rollout, stream: c.stream, totals: totals{}}, senders: map[string]*stream{}}
 		c.sums[m.Service] = s
 	}
 	from := s.senders[peer]
@@ -106,8 +108,8 @@
 		s.changed = false
 		s.sequence++
 		body := &counts{
-			Service: service, Rollout: s.rollout, Incarnation: c.view.node.Incarnation, Sequence: s.sequence,
-			Region: c.view.node.Region, Relayed: true, Outcomes: s.totals.sorted(),
+			Service: service, Rollout: s.rollout, Incarnation: c.view.node.Incarnation, Stream: s.stream,
+			Sequence: s.sequence, Region: c.view.node.Region, Relayed: true, Outcomes: s.totals.sorted(),
 		}
 		fs = append(fs, c.view.sendAll(c.targets(now, service), countsKind, body)...)
 	}
--- a/mesh/roller/counts.go
+++ b/mesh/roller/counts.go
@@ -20,10 +20,10 @@
 type counts struct {
 	Service     string            `cbor:"1,keyasint"`
 	Rollout     string            `cbor:"2,keyasint"`
-	Incarnation uint64            `cbor:"3,keyasint"` // of the sender's process
-	Stream      uint64            `cbor:"4,keyasint,omitempty"`
-	Sequence    uint64            `cbor:"5,keyasint"` // starts at one in each stream
-	Region      string            `cbor:"6,keyasint"` // of the callers
+	Incarnation uint64            `cbor:"3,keyasint"`           // of the sender's process
+	Stream      uint64            `cbor:"4,keyasint,omitempty"` // higher for each later total of the process
+	Sequence    uint64            `cbor:"5,keyasint"`           // starts at one in each stream
+	Region      string            `cbor:"6,keyasint"`           // of the callers
 	Relayed     bool              `cbor:"7,keyasint,omitempty"`
 	Outcomes    []outcome.Outcome `cbor:"8,keyasint"`
 }
@@ -100,8 +100,11 @@
 func minus(o, earlier outcome.Outcome) outcome.Outcome {
 	latency, before := o.Latency(), earlier.Latency()
 	for i := range latency {
-		latency[i] -= before[i]
+		latency[i] = grown(latency[i], before[i])
 	}
-	return outcome.New(o.Key(), o.Calls()-earlier.Calls(), o.Failures()-earlier.Failures(),
-		o.Crashes()-earlier.Crashes(), o.Shed()-earlier.Shed(), latency)
+	return outcome.New(o.Key(), grown(o.Calls(), earlier.Calls()), grown(o.Failures(), earlier.Failures()),
+		grown(o.Crashes(), earlier.Crashes()), grown(o.Shed(), earlier.Shed()), latency)
 }
+
+// grown returns the difference of two totals, or zero for a total that shrank, which only a faulty sender reports.
+func grown(total, before uint64) uint64 { return total - min(total, before) }
--- a/mesh/roller/reporter.go
+++ b/mesh/roller/reporter.go
@@ -18,6 +18,7 @@
 
 type report struct {
 	rollout  string
+	stream   uint64
 	sequence uint64
 	totals   totals
 }
@@ -47,7 +48,7 @@
 		p := r.sent[service]
 		p.sequence++
 		fs = append(fs, r.view.send(r.relay, countsKind, &counts{
-			Service: service, Rollout: p.rollout, Incarnation: r.view.node.Incarnation, Stream: r.stream,
+			Service: service, Rollout: p.rollout, Incarnation: r.view.node.Incarnation, Stream: p.stream,
 			Sequence: p.sequence, Region: r.view.node.Region, Outcomes: p.totals.sorted(),
 		}))
 	}
@@ -72,7 +73,6 @@
 		return
 	}
 	r.relay = relay
-	r.stream++
 	r.sent = map[string]*report{}
 }
 
@@ -88,7 +88,8 @@
 	}
 	p := r.sent[k.Service]
 	if p == nil || p.rollout != s.Rollout() {
-		p = &report{rollout: s.Rollout(), totals: totals{}}
+		r.stream++
+		p = &report{rollout: s.Rollout(), stream: r.stream, totals: totals{}}
 		r.sent[k.Service] = p
 	}
 	p.totals.add(o)
--- a/mesh/scheduler/scheduler.go
+++ b/mesh/scheduler/scheduler.go
@@ -110,6 +110,8 @@
 	switch {
 	case f.Share == 0 && !f.Ready:
 		what = "no upstream of the new version had been announced"
+	case f.Share == 0:
+		what = "no share had been given"
 	case f.Finding != judge.Good:
 		what = fmt.Sprintf("about %d more calls of evidence were needed at %s", f.Needed, percent(f.Share))
 	}
