--- /dev/null
+++ b/mesh/linker/drain.go
@@ -0,0 +1,47 @@
+package linker
+
+import (
+	"context"
+	"fmt"
+
+	"wisteriaspoke.example/mesh/fault"
+)
+
+// Drain closes all links in order: calls of other nodes are answered first, then this node's own calls end, then the
+// control links close. It returns a fault of kind Unavailable if ctx ends before that.
+func (l *Linker) Drain(ctx context.Context) error {
+	if !l.started.Load() {
+		return nil
+	}
+	l.refuse.Store(true)
+	l.listener.Close()
+	// Handlers that still run may make calls, so this node's own calls end second.
+	if err := l.drainLinks(ctx, func(k *link) bool { return k.purpose == calls && !k.dialed }); err != nil {
+		return err
+	}
+	l.closed.Store(true)
+	if err := l.drainLinks(ctx, func(k *link) bool { return k.purpose == calls }); err != nil {
+		return err
+	}
+	return l.drainLinks(ctx, func(*link) bool { return true })
+}
+
+func (l *Linker) drainLinks(ctx context.Context, selected func(*link) bool) error {
+	var ks []*link
+	for k := range l.links.Range {
+		if selected(k.(*link)) {
+			ks = append(ks, k.(*link))
+		}
+	}
+	for _, k := range ks {
+		signal(k.drain)
+	}
+	for i, k := range ks {
+		select {
+		case <-k.ended:
+		case <-ctx.Done():
+			return fault.Wrap(fault.Unavailable, ctx.Err(), fmt.Sprintf("%d links still had work", len(ks)-i), "allow more time with --drain")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/linker/frame.go
@@ -0,0 +1,83 @@
+package linker
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"wisteriaspoke.example/mesh/fault"
+)
+
+// frameType says what a frame's body is.
+type frameType uint8
+
+const (
+	typeHello   frameType = 1 + iota // body: hello; the first frame each way
+	typeProof                        // body: byte string; the dialer's proof that it knows the token
+	typeMessage                      // body: an encoded message.Message; control links only
+	typeCall                         // ID, body: call.Call
+	typeAnswer                       // ID, body: answer.Answer
+	typeCancel                       // ID: the caller no longer waits for the call
+	typeClosing                      // the sender closes this link once the calls sent before typeClosed are answered
+	typeClosed                       // reply to typeClosing: no call follows on this link
+)
+
+// hasBody lists the frame types whose body must be present; the others must have none.
+var hasBody = map[frameType]bool{
+	typeHello: true, typeProof: true, typeMessage: true, typeCall: true, typeAnswer: true,
+	typeCancel: false, typeClosing: false, typeClosed: false,
+}
+
+// frame is one WebSocket message.
+type frame struct {
+	_          struct{} `cbor:",toarray"`
+	Type       frameType
+	Generation uint64 // of the link; zero in a hello only
+	ID         uint64 // of the call on this link; zero in frames that concern no call
+	Body       cbor.RawMessage
+}
+
+// cborNull is the body of a frame without one.
+const cborNull = 0xf6
+
+var (
+	encMode = must(cbor.CoreDetEncOptions().EncMode())
+	// The nesting and element limits also cover bodies, which are checked for well-formedness with the frame.
+	decMode = must(cbor.DecOptions{MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17, MaxNestedLevels: 32}.DecMode())
+)
+
+func must[T any](t T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return t
+}
+
+func encodeFrame(t frameType, generation, id uint64, body []byte) ([]byte, error) {
+	data, err := encMode.Marshal(frame{Type: t, Generation: generation, ID: id, Body: body})
+	if err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "cannot encode a frame", "report this as a bug")
+	}
+	return data, nil
+}
+
+// decodeFrame returns the frame in data; malformed data are a fault of kind Invalid.
+func decodeFrame(data []byte) (frame, error) {
+	var f frame
+	if err := decMode.Unmarshal(data, &f); err != nil {
+		return frame{}, fault.Wrap(fault.Invalid, err, "malformed frame", "check that both nodes run compatible releases")
+	}
+	body, known := hasBody[f.Type]
+	if !known {
+		return frame{}, malformed(fmt.Sprintf("unknown frame type %d", f.Type))
+	}
+	absent := len(f.Body) == 0 || f.Body[0] == cborNull
+	if body == absent {
+		return frame{}, malformed(fmt.Sprintf("frame type %d with a wrong body", f.Type))
+	}
+	return f, nil
+}
+
+func malformed(what string) error {
+	return fault.New(fault.Invalid, what, "check that both nodes run compatible releases")
+}
--- /dev/null
+++ b/mesh/linker/frame_test.go
@@ -0,0 +1,95 @@
+package linker
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/encoder"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/message"
+)
+
+// examples returns one frame of each type, in the order of their numbers.
+func examples(t testing.TB) []frame {
+	t.Helper()
+	nonce := bytes.Repeat([]byte{1}, nonceSize)
+	dialer := hello{Node: "127.0.0.1:7400", Region: "obb", Purpose: calls, Nonce: nonce}
+	m, err := encoder.Encode(message.New("note", &note{Text: "hi"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := answer.New(answer.Fields{Status: 200, Ran: answer.Yes, Body: []byte("ok")})
+	return []frame{
+		{Type: typeHello, Body: must(encMode.Marshal(dialer))},
+		{Type: typeProof, Generation: 5, Body: must(encMode.Marshal(proof("secret", "dialer", dialer, dialer)))},
+		{Type: typeMessage, Generation: 5, Body: m},
+		{Type: typeCall, Generation: 5, ID: 9, Body: must(newCall("body").MarshalCBOR())},
+		{Type: typeAnswer, Generation: 5, ID: 9, Body: must(a.MarshalCBOR())},
+		{Type: typeCancel, Generation: 5, ID: 9},
+		{Type: typeClosing, Generation: 5},
+		{Type: typeClosed, Generation: 5},
+	}
+}
+
+// Guards against a change of the wire form, which nodes of different releases share.
+func TestFrameBytes(t *testing.T) {
+	var out bytes.Buffer
+	for _, f := range examples(t) {
+		data := must(encodeFrame(f.Type, f.Generation, f.ID, f.Body))
+		fmt.Fprintf(&out, "%d %s\n", f.Type, hex.EncodeToString(data))
+		if _, err := decodeFrame(data); err != nil {
+			t.Errorf("type %d: %v", f.Type, err)
+		}
+	}
+	goldie.New(t).Assert(t, "frames", out.Bytes())
+}
+
+// Guards against accepting malformed frames, and against errors without a type.
+func TestMalformedFrames(t *testing.T) {
+	cases, err := os.ReadFile("testdata/malformed.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	for line := range strings.Lines(string(cases)) {
+		name, text, _ := strings.Cut(strings.TrimSpace(line), " ")
+		data, err := hex.DecodeString(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = decodeFrame(data)
+		fmt.Fprintf(&out, "%s %s: %v\n", name, fault.KindOf(err), err)
+	}
+	goldie.New(t).Assert(t, "malformed", out.Bytes())
+}
+
+// Guards against panics of the decoder and against frames that change when they are passed on.
+func FuzzDecodeFrame(f *testing.F) {
+	for _, e := range examples(f) {
+		f.Add(must(encodeFrame(e.Type, e.Generation, e.ID, e.Body)))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first, err := decodeFrame(data)
+		if err != nil {
+			return
+		}
+		again, err := encodeFrame(first.Type, first.Generation, first.ID, first.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := decodeFrame(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first.Type != second.Type || first.Generation != second.Generation || first.ID != second.ID || !bytes.Equal(first.Body, second.Body) {
+			t.Fatalf("%v became %v", first, second)
+		}
+	})
+}
--- /dev/null
+++ b/mesh/linker/serve.go
@@ -0,0 +1,110 @@
+package linker
+
+import (
+	"context"
+	"time"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/encoder"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/fault"
+)
+
+// handle acts on one frame; an error closes the link.
+func (l *link) handle(ctx context.Context, f frame) error {
+	accepts := l.purpose == calls && !l.dialed
+	answers := l.purpose == calls && l.dialed
+	switch {
+	case f.Type == typeMessage && l.purpose == control:
+		m, err := encoder.Decode(f.Body)
+		if err != nil {
+			return err
+		}
+		l.owner.injector.Inject(event.NewReceived(l.peer.address, m))
+	case f.Type == typeCall && accepts:
+		return l.accept(ctx, f)
+	case f.Type == typeCancel && accepts:
+		if cancel, ok := l.serving.Load(f.ID); ok {
+			cancel.(context.CancelFunc)()
+		}
+	case f.Type == typeClosed && accepts:
+		signal(l.acked)
+	case f.Type == typeAnswer && answers:
+		return l.deliver(f)
+	case f.Type == typeClosing && answers:
+		l.closing.Store(true)
+		l.peer.removeCalls(l)
+		data := must(encodeFrame(typeClosed, l.generation, 0, nil))
+		select {
+		case l.urgent <- outgoing{data: data, last: true}:
+		case <-ctx.Done():
+		}
+	default:
+		return malformed("frame type is not allowed on this link")
+	}
+	return nil
+}
+
+// deliver hands an answer to the call that has its identifier, if that call still waits.
+func (l *link) deliver(f frame) error {
+	var a answer.Answer
+	if err := a.UnmarshalCBOR(f.Body); err != nil {
+		return fault.Wrap(fault.Invalid, err, "malformed answer", "check that both nodes run compatible releases")
+	}
+	p, ok := l.pending.LoadAndDelete(f.ID)
+	if !ok {
+		lateAnswers.Inc(1)
+		return nil
+	}
+	p.(*pending).done <- a
+	return nil
+}
+
+// accept starts the handler of a call, or refuses the call when too many run.
+func (l *link) accept(ctx context.Context, f frame) error {
+	var c call.Call
+	if err := c.UnmarshalCBOR(f.Body); err != nil {
+		return fault.Wrap(fault.Invalid, err, "malformed call", "check that both nodes run compatible releases")
+	}
+	if l.owner.running.Add(1) > int64(l.owner.LinkCalls) {
+		l.owner.running.Add(-1)
+		callsRefused.Inc(1)
+		l.reply(ctx, f.ID, answer.New(answer.Fields{Status: 503, Ran: answer.No, Reason: "busy"}))
+		return nil
+	}
+	handling, cancel := context.WithCancel(ctx)
+	if c.Left() > 0 {
+		cancel()
+		handling, cancel = context.WithTimeout(ctx, time.Duration(c.Left())*time.Millisecond)
+	}
+	if _, taken := l.serving.LoadOrStore(f.ID, cancel); taken {
+		cancel()
+		l.owner.running.Add(-1)
+		return malformed("two calls with one identifier")
+	}
+	l.handlers.start(func() {
+		defer l.owner.running.Add(-1)
+		defer cancel()
+		defer l.serving.Delete(f.ID)
+		l.reply(ctx, f.ID, l.owner.server.Serve(handling, c))
+	})
+	return nil
+}
+
+// reply queues the answer to a call; the caller sees a broken link if ctx ends first.
+func (l *link) reply(ctx context.Context, id uint64, a answer.Answer) {
+	body, err := a.MarshalCBOR()
+	var data []byte
+	if err == nil {
+		data, err = encodeFrame(typeAnswer, l.generation, id, body)
+	}
+	if err != nil || len(data) > callLimit {
+		substitute := answer.New(answer.Fields{Status: 502, Ran: answer.Maybe, Reason: "large", Retried: a.Retried()})
+		data = must(encodeFrame(typeAnswer, l.generation, id, must(substitute.MarshalCBOR())))
+	}
+	select {
+	case l.queue <- outgoing{data: data}:
+	case <-ctx.Done():
+	}
+}
