--- a/mesh/driver/driver.go
+++ b/mesh/driver/driver.go
@@ -27,8 +27,8 @@
 )
 
 var (
-	receivedDropped = metrics.GetOrRegisterCounter("driver.received.dropped", nil)
-	eventsDropped   = metrics.GetOrRegisterCounter("driver.events.dropped", nil)
+	receivedDropped = metrics.GetOrRegisterCounter("driver.unreceived", nil)
+	eventsDropped   = metrics.GetOrRegisterCounter("driver.dropped", nil)
 )
 
 func init() {
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -32,10 +32,10 @@
 }
 
 var (
-	messagesDropped = metrics.GetOrRegisterCounter("link.messages.dropped", nil)
-	cancelsDropped  = metrics.GetOrRegisterCounter("link.cancels.dropped", nil)
-	lateAnswers     = metrics.GetOrRegisterCounter("link.answers.late", nil)
-	callsRefused    = metrics.GetOrRegisterCounter("link.calls.refused", nil)
+	messagesDropped = metrics.GetOrRegisterCounter("link.dropped", nil)
+	cancelsDropped  = metrics.GetOrRegisterCounter("link.uncancelled", nil)
+	lateAnswers     = metrics.GetOrRegisterCounter("link.late", nil)
+	callsRefused    = metrics.GetOrRegisterCounter("link.refused", nil)
 	linksBroken     = metrics.GetOrRegisterCounter("link.broken", nil)
 )
 
