--- a/load/caller/caller.go
+++ b/load/caller/caller.go
@@ -52,7 +52,8 @@
 		}
 	}
 	if c.Body < 0 || c.Timeout <= 0 {
-		errs = append(errs, fault.New(fault.Invalid, "--body or --timeout is out of range", "set --body to 0 or more and --timeout above 0"))
+		remedy := "set --body to 0 or more and --timeout above 0"
+		errs = append(errs, fault.New(fault.Invalid, "--body or --timeout is out of range", remedy))
 	}
 	return errors.Join(errs...)
 }
--- a/mesh/objectclient/call.go
+++ b/mesh/objectclient/call.go
@@ -13,6 +13,9 @@
 	"wisteriaspoke.example/mesh/fault"
 )
 
+// readBack is the remedy of every write that may have run.
+const readBack = "read the object to see whether the write stands"
+
 // request is one call; a call with a body is a write.
 type request struct {
 	method string
@@ -104,7 +107,7 @@
 		sent = false
 	}
 	if sent && r.write() {
-		return nil, fault.Wrap(fault.MayHaveRun, err, "the store did not answer a write", "read the object to see whether the write stands")
+		return nil, fault.Wrap(fault.MayHaveRun, err, "the store did not answer a write", readBack)
 	}
 	return nil, fault.Wrap(fault.Unavailable, err, "the store did not answer", "check --store and try again later")
 }
@@ -137,7 +140,7 @@
 func unreadable(write bool) func(error) error {
 	return func(err error) error {
 		if write {
-			return fault.Wrap(fault.MayHaveRun, err, "the store's answer to a write cannot be read", "read the object to see whether the write stands")
+			return fault.Wrap(fault.MayHaveRun, err, "the store's answer to a write cannot be read", readBack)
 		}
 		return fault.Wrap(fault.Unavailable, err, "the store's answer cannot be read", "try again later")
 	}
@@ -167,7 +170,7 @@
 	}
 	if code >= http.StatusInternalServerError && write {
 		// An error or a time-out behind the API says nothing of the write itself.
-		return fault.New(fault.MayHaveRun, what, "read the object to see whether the write stands")
+		return fault.New(fault.MayHaveRun, what, readBack)
 	}
 	if code >= http.StatusInternalServerError {
 		return fault.New(fault.Unavailable, what, "try again later")
--- a/mesh/objectclient/client.go
+++ b/mesh/objectclient/client.go
@@ -37,6 +37,9 @@
 }
 
 // Client sends each call once, on kept-alive connections; its methods may be called concurrently.
+//
+// It uses net/http rather than fasthttp, which has no hook that names the connection of a request and so cannot tell a
+// write that was not sent on a kept-alive connection from one that was.
 type Client struct {
 	Store        string        `help:"Base URL of the platform's object API." placeholder:"URL" env:"WISTERIASPOKE_STORE"`
 	StoreToken   string        `help:"Bearer token for the object API; none if empty." env:"WISTERIASPOKE_STORE_TOKEN"`
@@ -51,10 +54,12 @@
 	var errs []error
 	u, err := url.Parse(c.Store)
 	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		errs = append(errs, fault.New(fault.Invalid, "--store is not a base URL", "set it to http://IP:PORT or https://IP:PORT"))
+		remedy := "set it to http://IP:PORT or https://IP:PORT"
+		errs = append(errs, fault.New(fault.Invalid, "--store is not a base URL", remedy))
 	}
 	if c.StoreTimeout <= 0 {
-		errs = append(errs, fault.New(fault.Invalid, "--store-timeout is not positive", "set it to a duration, for example 2s"))
+		remedy := "set it to a duration, for example 2s"
+		errs = append(errs, fault.New(fault.Invalid, "--store-timeout is not positive", remedy))
 	}
 	return errors.Join(errs...)
 }
@@ -118,9 +123,9 @@
 
 // Watch calls each with every change after the revision, in order, for all names when name is empty.
 //
-// It blocks until it ends and never returns nil: the error is ctx's own, or a fault of kind Gone (list again), Throttled,
-// Denied, Invalid or Unavailable (watch again from the last revision seen). An empty revision begins with the objects
-// that stand, as Added.
+// It blocks until it ends and never returns nil: the error is ctx's own, or a fault of kind Gone (list again),
+// Throttled, Denied, Invalid or Unavailable (watch again from the last revision seen). An empty revision begins with
+// the objects that stand, as Added.
 func (c *Client) Watch(ctx context.Context, plural, name, revision string, each func(event.Change, object.Object)) error {
 	response, err := c.open(ctx, plural, name, revision)
 	if err != nil {
--- a/mesh/objectclient/wire.go
+++ b/mesh/objectclient/wire.go
@@ -101,8 +101,17 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return object.Object{}, wrap(err)
 	}
+	o, err := r.object(plural)
+	if err != nil {
+		return object.Object{}, wrap(err)
+	}
+	return o, nil
+}
+
+// object fails if a conditional write could not be based on the result.
+func (r resource) object(plural string) (object.Object, error) {
 	if r.Metadata.Name == "" || r.Metadata.ResourceVersion == "" {
-		return object.Object{}, wrap(errors.New("the object has no name or no resourceVersion"))
+		return object.Object{}, errors.New("the object has no name or no resourceVersion")
 	}
 	return object.New(plural, r.Metadata.Name, r.Metadata.ResourceVersion, r.Spec), nil
 }
@@ -117,7 +126,11 @@
 	}
 	var objects []object.Object
 	for _, r := range l.Items {
-		objects = append(objects, object.New(plural, r.Metadata.Name, r.Metadata.ResourceVersion, r.Spec))
+		o, err := r.object(plural)
+		if err != nil {
+			return nil, "", unreadable(false)(err)
+		}
+		objects = append(objects, o)
 	}
 	return objects, l.Metadata.ResourceVersion, nil
 }
--- a/objects/main.go
+++ b/objects/main.go
@@ -1,4 +1,4 @@
-// Command objects is a stand-in for the platform's object API, for the demo and tests.
+// Command wisteriaspoke-objects is a stand-in for the platform's object API, for the demo and tests.
 package main
 
 import (
@@ -14,5 +14,6 @@
 )
 
 func main() {
-	os.Exit(kernel.Main("wisteriaspoke-objects", "In-memory object store that follows the conventions of the Kubernetes API."))
+	const description = "In-memory object store that follows the conventions of the Kubernetes API."
+	os.Exit(kernel.Main("wisteriaspoke-objects", description))
 }
--- a/objects/server/handler.go
+++ b/objects/server/handler.go
@@ -19,8 +19,8 @@
 // maxBody leaves room for an object's metadata beside its value.
 const maxBody = keeper.MaxSpec + 4096
 
-// Handler returns the routes of the API and of the endpoints for tests.
-func (s *Server) Handler() http.Handler {
+// routes returns the handlers of the API and of the endpoints for tests.
+func (s *Server) routes() http.Handler {
 	const prefix = "/apis/" + apiVersion + "/{plural}"
 	m := http.NewServeMux()
 	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
@@ -49,13 +49,9 @@
 }
 
 func (s *Server) read(kind int, next http.HandlerFunc) http.HandlerFunc {
-	return s.authorised(s.admitted(kind, s.takeRead, next))
+	return s.authorised(s.admitted(kind, s.limiter.TakeRead, next))
 }
 
-// takeRead and takeWrite look the limiter up at the time of the call, since routes are made before Start finds it.
-func (s *Server) takeRead() bool  { return s.limiter.TakeRead() }
-func (s *Server) takeWrite() bool { return s.limiter.TakeWrite() }
-
 // admitted counts a call and applies the outage, the rate and the delay, in this order.
 func (s *Server) admitted(kind int, take func() bool, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -97,7 +93,7 @@
 	return s.authorised(func(w http.ResponseWriter, r *http.Request) {
 		// The body is read before any delay, so that a caller that gives up has still sent its write.
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-		s.admitted(kind, s.takeWrite, func(w http.ResponseWriter, r *http.Request) {
+		s.admitted(kind, s.limiter.TakeWrite, func(w http.ResponseWriter, r *http.Request) {
 			if err != nil {
 				failBody(w, err)
 				return
@@ -148,7 +144,8 @@
 		return 0, nil, err
 	}
 	if o.Revision() == "" {
-		return 0, nil, fault.New(fault.Invalid, "resourceVersion must be specified for an update", "send the one that was read")
+		what := "resourceVersion must be specified for an update"
+		return 0, nil, fault.New(fault.Invalid, what, "send the one that was read")
 	}
 	o, err = s.storage.Update(o)
 	return http.StatusOK, newResource(o), err
--- a/objects/server/server.go
+++ b/objects/server/server.go
@@ -100,7 +100,7 @@
 		return nil, fault.Wrap(fault.Unavailable, err, "cannot listen on "+s.Listen, "choose a free address with --listen")
 	}
 	s.log.Info("listening", "listen", listener.Addr().String())
-	s.http.Handler = s.Handler()
+	s.http.Handler = s.routes()
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.IdleTimeout = idleTimeout
 	s.http.ErrorLog = slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)
--- a/objects/server/watch.go
+++ b/objects/server/watch.go
@@ -14,10 +14,10 @@
 func (s *Server) listOrWatch(w http.ResponseWriter, r *http.Request) {
 	// An absent or malformed value means a list.
 	if watch, _ := strconv.ParseBool(r.URL.Query().Get("watch")); watch {
-		s.admitted(meter.Watch, s.takeRead, s.watch)(w, r)
+		s.admitted(meter.Watch, s.limiter.TakeRead, s.watch)(w, r)
 		return
 	}
-	s.admitted(meter.List, s.takeRead, s.list)(w, r)
+	s.admitted(meter.List, s.limiter.TakeRead, s.list)(w, r)
 }
 
 // watch streams changes until the caller leaves, the server stops (a clean end) or an outage begins (a cut).
@@ -55,7 +55,9 @@
 )
 
 // stream sends changes until it ends with errCut, errStopping, the caller's context.Canceled or a fault.
-func (s *Server) stream(parent context.Context, w http.ResponseWriter, cursor *keeper.Watch, cut <-chan struct{}) error {
+func (s *Server) stream(
+	parent context.Context, w http.ResponseWriter, cursor *keeper.Watch, cut <-chan struct{},
+) error {
 	ctx, cancel := context.WithCancelCause(parent)
 	ended := make(chan struct{})
 	go func() {
