--- a/mesh/linker/frame_test.go
+++ b/mesh/linker/frame_test.go
@@ -51,21 +51,34 @@
 	goldie.New(t).Assert(t, "frames", out.Bytes())
 }
 
-// Guards against accepting malformed frames, and against errors without a type.
-func TestMalformedFrames(t *testing.T) {
-	cases, err := os.ReadFile("testdata/malformed.txt")
+type malformedCase struct {
+	name string
+	data []byte
+}
+
+func malformedCases(t testing.TB) (cs []malformedCase) {
+	t.Helper()
+	text, err := os.ReadFile("testdata/malformed.txt")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var out bytes.Buffer
-	for line := range strings.Lines(string(cases)) {
-		name, text, _ := strings.Cut(strings.TrimSpace(line), " ")
-		data, err := hex.DecodeString(text)
+	for line := range strings.Lines(string(text)) {
+		name, digits, _ := strings.Cut(strings.TrimSpace(line), " ")
+		data, err := hex.DecodeString(digits)
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, err = decodeFrame(data)
-		fmt.Fprintf(&out, "%s %s: %v\n", name, fault.KindOf(err), err)
+		cs = append(cs, malformedCase{name: name, data: data})
+	}
+	return cs
+}
+
+// Guards against accepting malformed frames, and against errors without a type.
+func TestMalformedFrames(t *testing.T) {
+	var out bytes.Buffer
+	for _, c := range malformedCases(t) {
+		_, err := decodeFrame(c.data)
+		fmt.Fprintf(&out, "%s %s: %v\n", c.name, fault.KindOf(err), err)
 	}
 	goldie.New(t).Assert(t, "malformed", out.Bytes())
 }
@@ -75,6 +88,9 @@
 	for _, e := range examples(f) {
 		f.Add(must(encodeFrame(e.Type, e.Generation, e.ID, e.Body)))
 	}
+	for _, c := range malformedCases(f) {
+		f.Add(c.data)
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		first, err := decodeFrame(data)
 		if err != nil {
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -278,6 +278,12 @@
 
 func (l *link) put(data []byte) error {
 	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if l.purpose == control {
+		controlBytes.Inc(int64(len(data)))
+		if l.compress {
+			crossedBytes.Inc(int64(len(data)))
+		}
+	}
 	l.conn.EnableWriteCompression(l.compress && len(data) > compressFrom)
 	return l.conn.WriteMessage(websocket.BinaryMessage, data)
 }
--- a/mesh/linker/link_test.go
+++ b/mesh/linker/link_test.go
@@ -50,22 +50,102 @@
 	}
 }
 
-// Guards against more than one control link when both nodes dial at the same time.
+// Guards against more than one control link, or none, when both nodes dial at the same time.
 func TestSimultaneousDials(t *testing.T) {
 	a, b := newNode(t), newNode(t)
-	for i := range 50 {
-		a.Send(b.Address(), message.New("note", &note{Text: fmt.Sprint(i)}))
-		b.Send(a.Address(), message.New("note", &note{Text: fmt.Sprint(i)}))
+	if a.Address() > b.Address() {
+		a, b = b, a
+	}
+	fromA := a.peer(b.Address()).beginDial(control)
+	fromB := b.peer(a.Address()).beginDial(control)
+	<-fromA.done
+	<-fromB.done
+	if err := errors.Join(fromA.err, fromB.err); err != nil {
+		t.Fatal(err)
 	}
+	<-fromB.link.ended
+	a.Send(b.Address(), message.New("note", &note{Text: "to b"}))
+	b.Send(a.Address(), message.New("note", &note{Text: "to a"}))
 	a.await(event.Received)
 	b.await(event.Received)
-	for _, n := range []*node{a, b} {
-		if got := n.peer(map[*node]string{a: b.Address(), b: a.Address()}[n]).control.Load(); got == nil {
-			t.Error("no control link is left")
+	for _, p := range []*peer{a.peer(b.Address()), b.peer(a.Address())} {
+		if got := p.control.Load(); got.generation != fromA.link.generation {
+			t.Errorf("%s is linked by generation %d, want %d", p.address, got.generation, fromA.link.generation)
 		}
 	}
 }
 
+// Guards against messages across regions that are sent uncompressed, and against compression within a region.
+func TestCompression(t *testing.T) {
+	const size = 100 << 10
+	for _, region := range []string{"", "other"} {
+		p := newProxy(t)
+		a, b := newNode(t), newNode(t, func(_ *Linker, f *fake) { f.region = region })
+		p.target.Store(b.Address())
+		a.Send(p.address(), message.New("note", &note{Text: strings.Repeat("x", size)}))
+		b.await(event.Received)
+		if err := errors.Join(a.stop(), b.stop(), p.listener.Close()); err != nil {
+			t.Error(err)
+		}
+		p.copies.Wait()
+		if got := p.passed.Load(); (got < size/10) != (region == "other") {
+			t.Errorf("region %q: %d bytes", region, got)
+		}
+	}
+}
+
+// Guards against peers that are kept for ever, and against messages lost to one that has just been forgotten.
+func TestSweep(t *testing.T) {
+	a, b := newNode(t), newNode(t)
+	old := a.peer(b.Address())
+	a.sweep()
+	if a.peer(b.Address()) != old {
+		t.Fatal("a used peer was forgotten")
+	}
+	a.sweep()
+	a.sweep()
+	if !old.retired.Load() {
+		t.Fatal("an unused peer was kept")
+	}
+	if !old.post(message.New("note", &note{Text: "late"})) {
+		t.Error("the message was dropped")
+	}
+	b.await(event.Received)
+}
+
+// Guards against the delivery of an answer whose call no longer waits.
+func TestLateAnswer(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, c call.Call) answer.Answer {
+		close(arrived)
+		<-release
+		return echo(ctx, c)
+	}))
+	type result struct {
+		answer answer.Answer
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		got, err := a.Call(t.Context(), b.Address(), newCall("right"))
+		done <- result{got, err}
+	}()
+	<-arrived
+	k := a.peer(b.Address()).best()
+	before := lateAnswers.Count()
+	wrong := must(answer.New(answer.Fields{Status: 200, Body: []byte("wrong")}).MarshalCBOR())
+	if err := k.handle(t.Context(), frame{Type: typeAnswer, ID: k.ids.Load() + 1, Body: wrong}); err != nil {
+		t.Error(err)
+	}
+	if got := lateAnswers.Count() - before; got != 1 {
+		t.Errorf("%d answers were counted as late", got)
+	}
+	close(release)
+	if r := <-done; r.err != nil || string(r.answer.Body()) != "right" {
+		t.Errorf("got %q, %v", r.answer.Body(), r.err)
+	}
+}
+
 // Guards against a wrong claim that a call may have run when nothing listens.
 func TestRefusedDial(t *testing.T) {
 	a := newNode(t)
@@ -359,6 +439,7 @@
 	mu       sync.Mutex
 	conns    []net.Conn
 	copies   sync.WaitGroup
+	passed   atomic.Int64 // bytes of ended connections
 }
 
 func newProxy(t *testing.T) *proxy {
@@ -393,11 +474,18 @@
 		p.mu.Lock()
 		p.conns = append(p.conns, in, out)
 		p.mu.Unlock()
-		p.copies.Go(func() { io.Copy(in, out); in.Close(); out.Close() })
-		p.copies.Go(func() { io.Copy(out, in); in.Close(); out.Close() })
+		p.copies.Go(func() { p.pass(in, out) })
+		p.copies.Go(func() { p.pass(out, in) })
 	}
 }
 
+func (p *proxy) pass(to, from net.Conn) {
+	n, _ := io.Copy(to, from)
+	p.passed.Add(n)
+	to.Close()
+	from.Close()
+}
+
 func (p *proxy) cut() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -31,12 +31,18 @@
 	})
 }
 
+// sweepInterval keeps a peer's state for one to two minutes after its last use.
+const sweepInterval = time.Minute
+
 var (
 	messagesDropped = metrics.GetOrRegisterCounter("link.dropped", nil)
 	cancelsDropped  = metrics.GetOrRegisterCounter("link.uncancelled", nil)
 	lateAnswers     = metrics.GetOrRegisterCounter("link.late", nil)
 	callsRefused    = metrics.GetOrRegisterCounter("link.refused", nil)
 	linksBroken     = metrics.GetOrRegisterCounter("link.broken", nil)
+	// Bytes of control frames sent, before compression: all of them, and those to other regions.
+	controlBytes = metrics.GetOrRegisterCounter("link.control", nil)
+	crossedBytes = metrics.GetOrRegisterCounter("link.crossed", nil)
 )
 
 // writeBuffers is shared by all connections, so that idle ones hold no buffer.
@@ -211,12 +217,16 @@
 	counts := map[string]int{}
 	var failure error
 	done := ctx.Done()
+	sweeps := time.NewTicker(sweepInterval)
+	defer sweeps.Stop()
 	for done != nil || l.tasks.running() > 0 {
 		select {
 		case <-l.tasks.ends:
 			l.tasks.ended()
 		case c := <-l.changes:
 			l.count(counts, c)
+		case <-sweeps.C:
+			l.sweep()
 		case err := <-accepting:
 			accepting = nil
 			if !l.refuse.Load() && ctx.Err() == nil {
@@ -264,11 +274,27 @@
 }
 
 func (l *Linker) peer(address string) *peer {
-	if p, ok := l.peers.Load(address); ok {
-		return p.(*peer)
+	found, ok := l.peers.Load(address)
+	if !ok {
+		found, _ = l.peers.LoadOrStore(address, newPeer(l, address))
+	}
+	p := found.(*peer)
+	// The load first keeps the cache line shared between the goroutines of calls.
+	if !p.touched.Load() {
+		p.touched.Store(true)
+	}
+	return p
+}
+
+// sweep forgets peers without links that nobody has used since the last sweep, as addresses come and go with hosts.
+func (l *Linker) sweep() {
+	for address, found := range l.peers.Range {
+		p := found.(*peer)
+		if p.unused() && l.peers.CompareAndDelete(address, p) {
+			p.retired.Store(true)
+			close(p.gone)
+		}
 	}
-	p, _ := l.peers.LoadOrStore(address, newPeer(l, address))
-	return p.(*peer)
 }
 
 // Send queues m for the node at address peer without blocking; a message beyond the queue is dropped and counted.
@@ -318,6 +344,11 @@
 	k := newLink(l, p, c, why, true, other.Generation, other.Region)
 	l.links.Store(k, struct{}{})
 	p.add(k)
+	if l.closed.Load() {
+		// Drain may have listed the links before this one; it carries no call then.
+		k.closing.Store(true)
+		signal(k.drain)
+	}
 	return k, nil
 }
 
--- a/mesh/linker/peer.go
+++ b/mesh/linker/peer.go
@@ -33,7 +33,10 @@
 	linked  chan struct{} // a control link came up
 
 	box     chan message.Message
-	sending atomic.Bool // the goroutine that empties box has started
+	sending atomic.Bool   // the goroutine that empties box has started
+	touched atomic.Bool   // used since the last sweep
+	retired atomic.Bool   // another peer value has taken over the address
+	gone    chan struct{} // closed after retired is set
 
 	dialing  [2]atomic.Pointer[attempt] // by purpose
 	failures atomic.Int64               // dials failed in a row
@@ -48,7 +51,11 @@
 }
 
 func newPeer(owner *Linker, address string) *peer {
-	p := &peer{owner: owner, address: address, linked: make(chan struct{}, 1), box: make(chan message.Message, boxSize)}
+	p := &peer{
+		owner: owner, address: address, linked: make(chan struct{}, 1),
+		box: make(chan message.Message, boxSize), gone: make(chan struct{}),
+	}
+	p.touched.Store(true)
 	p.calls.Store(new([]*link))
 	return p
 }
@@ -202,19 +209,46 @@
 	}
 	select {
 	case p.box <- m:
-		return true
 	default:
 		return false
 	}
+	if p.retired.Load() {
+		p.forward()
+	}
+	return true
+}
+
+// forward moves queued messages to the peer value that has taken over the address.
+func (p *peer) forward() {
+	for {
+		select {
+		case m := <-p.box:
+			p.owner.Send(p.address, m)
+		default:
+			return
+		}
+	}
+}
+
+// unused reports whether nothing has happened with the peer since the last time it was asked.
+func (p *peer) unused() bool {
+	if p.touched.Swap(false) {
+		return false
+	}
+	dialing := p.dialing[0].Load() != nil || p.dialing[1].Load() != nil
+	return !dialing && p.control.Load() == nil && len(*p.calls.Load()) == 0 && len(p.box) == 0
 }
 
-// send empties the box until the linker ends.
+// send empties the box until the linker ends or the peer is retired.
 func (p *peer) send() {
 	ctx := p.owner.ctx
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-p.gone:
+			p.forward()
+			return
 		case m := <-p.box:
 			if !p.sendOne(ctx, m) {
 				messagesDropped.Inc(1)
