--- a/mesh/linker/link_test.go
+++ b/mesh/linker/link_test.go
@@ -195,7 +195,8 @@
 
 func rawDial(t *testing.T, n *node) *websocket.Conn {
 	t.Helper()
-	c, _, err := websocket.DefaultDialer.Dial("ws://"+n.Address()+"/link", nil)
+	d := websocket.Dialer{EnableCompression: true}
+	c, _, err := d.Dial("ws://"+n.Address()+"/link", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -234,6 +235,7 @@
 		{"misplaced", websocket.CloseProtocolError, func(g uint64) []byte { return must(encodeFrame(typeAnswer, g, 1, []byte{1})) }},
 		{"body", websocket.CloseProtocolError, func(g uint64) []byte { return must(encodeFrame(typeCall, g, 1, []byte{1})) }},
 		{"large", websocket.CloseMessageTooBig, func(uint64) []byte { return make([]byte, callLimit+1) }},
+		{"large-inflated", websocket.CloseMessageTooBig, func(uint64) []byte { return make([]byte, callLimit+1) }},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -243,6 +245,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			conn.EnableWriteCompression(c.name == "large-inflated")
 			// The peer may close before all of a large frame is written.
 			conn.WriteMessage(websocket.BinaryMessage, c.data(other.Generation))
 			wantClosed(t, conn, c.code)
@@ -301,6 +304,20 @@
 	}
 }
 
+// Guards against bodies that the peer would close the link for.
+func TestLargeBodies(t *testing.T) {
+	large := strings.Repeat("x", callLimit)
+	a, b := newNode(t), newNode(t, serving(func(context.Context, call.Call) answer.Answer {
+		return answer.New(answer.Fields{Status: 200, Ran: answer.Yes, Body: []byte(large)})
+	}))
+	_, err := a.Call(t.Context(), b.Address(), newCall(large))
+	wantKind(t, err, fault.NotRun)
+	got, err := a.Call(t.Context(), b.Address(), newCall(""))
+	if err != nil || got.Ran() != answer.Maybe || got.Reason() != "large" {
+		t.Errorf("got status %d, ran %q, reason %q, %v", got.Status(), got.Ran(), got.Reason(), err)
+	}
+}
+
 // Guards against unbounded handlers; the refusal must say that the call did not run.
 func TestBusy(t *testing.T) {
 	arrived, release := make(chan struct{}), make(chan struct{})
--- a/mesh/linker/main_test.go
+++ b/mesh/linker/main_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"testing"
 
+	"github.com/sebdah/goldie/v2"
 	"go.uber.org/goleak"
 
 	"wisteriaspoke.example/mesh/answer"
@@ -121,3 +123,9 @@
 		}
 	}
 }
+
+// Guards against settings that are refused without a remedy or not at all.
+func TestCheck(t *testing.T) {
+	err := errors.Join((&Linker{Listen: "host", LinkCert: "file"}).Check(), (&Linker{LinkToken: "secret", LinkCalls: 1}).Check())
+	goldie.New(t).Assert(t, "check", []byte(err.Error()))
+}
