--- a/mesh/admitter/admitter_test.go
+++ b/mesh/admitter/admitter_test.go
@@ -99,7 +99,7 @@
 	return nil
 }
 
-func need[T any](t *testing.T, k *kernel.Kernel) T {
+func need[T any](t testing.TB, k *kernel.Kernel) T {
 	t.Helper()
 	v, err := kernel.Need[T](k)
 	if err != nil {
@@ -109,7 +109,7 @@
 }
 
 // run starts a node with the address beside the upstream.
-func run(t *testing.T, address, upstream string) *node {
+func run(t testing.TB, address, upstream string) *node {
 	t.Helper()
 	k := kernel.New()
 	found := make(chan string, 1)
@@ -142,7 +142,7 @@
 }
 
 // halt stops the node once.
-func (n *node) halt(t *testing.T) {
+func (n *node) halt(t testing.TB) {
 	t.Helper()
 	if n.stop == nil {
 		return
@@ -158,7 +158,7 @@
 	{"name":"all","host":"swim.example","path":"/","tenant":"club"},
 	{"name":"confirm","host":"swim.example","path":"/confirm","methods":["POST"],"class":"high","tenant":"club"}]}`
 
-func configuration(t *testing.T, version uint64, split share.Share) config.Config {
+func configuration(t testing.TB, version uint64, split share.Share) config.Config {
 	t.Helper()
 	var s service.Service
 	if err := json.Unmarshal([]byte(definition), &s); err != nil {
@@ -213,7 +213,7 @@
 }
 
 // upstream counts its runs and answers with the method, path and body.
-func upstream(t *testing.T) (string, *atomic.Int64) {
+func upstream(t testing.TB) (string, *atomic.Int64) {
 	t.Helper()
 	runs := &atomic.Int64{}
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -453,3 +453,50 @@
 		t.Errorf("%d calls are lost", lost.Load())
 	}
 }
+
+// BenchmarkPath measures a call over loopback HTTP, to the upstream alone and through the node beside it.
+func BenchmarkPath(b *testing.B) {
+	url, _ := upstream(b)
+	n := run(b, "127.0.0.1:7001", url)
+	n.publisher.Publish(configuration(b, 1, share.Share{}))
+	n.publisher.Publish(endpoints(1, "127.0.0.1:7001"))
+	for _, c := range []struct{ name, url string }{{"direct", url}, {"node", n.url}} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r, err := http.NewRequest("GET", c.url+"/a", nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Host = "swim.example"
+				p, err := http.DefaultClient.Do(r)
+				if err != nil {
+					b.Fatal(err)
+				}
+				io.Copy(io.Discard, p.Body)
+				p.Body.Close()
+				if p.StatusCode != 200 {
+					b.Fatal(p.Status)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkDo measures the decisions on a call's way, without HTTP.
+func BenchmarkDo(b *testing.B) {
+	url, _ := upstream(b)
+	n := run(b, "127.0.0.1:7001", url)
+	n.publisher.Publish(configuration(b, 1, share.Share{}))
+	n.publisher.Publish(endpoints(1, "127.0.0.1:7002", "127.0.0.1:7003"))
+	whole := answer.New(answer.Fields{Status: 200, Ran: answer.Yes})
+	n.wire.peer = func(context.Context, string, call.Call) (answer.Answer, error) { return whole, nil }
+	header := func(string) string { return "" }
+	f := call.Fields{Method: "GET", Host: "swim.example", Path: "/a"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if a := n.admitter.Do(context.Background(), f, header); a.Status() != 200 {
+			b.Fatal(a.Reason())
+		}
+	}
+}
