--- a/mesh/balancer/balancer_test.go
+++ b/mesh/balancer/balancer_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/router"
 	"wisteriaspoke.example/mesh/service"
@@ -118,7 +120,7 @@
 			fmt.Fprintf(&out, "%6d ms %s\n", p.At, p.run(s, ms, random))
 		}
 	}
-	golden(t, "traces", out.String())
+	goldie.New(t).Assert(t, "traces", []byte(out.String()))
 }
 
 func (p step) run(s *snapshot.Snapshot, ms map[string]*snapshot.Member, random func(int) int) string {
--- a/mesh/limiter/limiter_test.go
+++ b/mesh/limiter/limiter_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"wisteriaspoke.example/mesh/route"
 )
 
@@ -83,7 +85,7 @@
 			fmt.Fprintf(&out, " (%d waiting)\n", q.length)
 		}
 	}
-	golden(t, "queue", out.String())
+	goldie.New(t).Assert(t, "queue", []byte(out.String()))
 }
 
 // TestGradient guards against a limit that does not follow the latency, or that gets stuck.
@@ -110,7 +112,7 @@
 			out.WriteString("\n")
 		}
 	}
-	golden(t, "gradient", out.String())
+	goldie.New(t).Assert(t, "gradient", []byte(out.String()))
 }
 
 // load is the arrivals of one tenant and class, one in each interval.
--- a/mesh/retrier/retrier_test.go
+++ b/mesh/retrier/retrier_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"wisteriaspoke.example/mesh/answer"
 )
 
@@ -41,7 +43,7 @@
 		d := Next(c.Attempt, a, c.Idempotent, !c.Broke, left, largest)
 		fmt.Fprintf(&out, "%2d. %s: retry=%v wait<%v exhausted=%v\n", i+1, c.Name, d.Retry(), (d.Wait() + 1).Round(time.Microsecond), d.Exhausted())
 	}
-	golden(t, "decisions", out.String())
+	goldie.New(t).Assert(t, "decisions", []byte(out.String()))
 }
 
 // hop is one node of a chain of services, each of which calls the next.
--- a/mesh/router/router_test.go
+++ b/mesh/router/router_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"github.com/sebdah/goldie/v2"
+
 	"wisteriaspoke.example/mesh/service"
 )
 
@@ -36,7 +38,7 @@
 		r, s, ok := table.Match(c.Host, c.Path, c.Method, func(name string) string { return c.Headers[name] })
 		fmt.Fprintf(&out, "%2d %s %s%s %v: %v %s/%s\n", i+1, c.Method, c.Host, c.Path, c.Headers, ok, s.Name(), r.Name())
 	}
-	golden(t, "matches", out.String())
+	goldie.New(t).Assert(t, "matches", []byte(out.String()))
 	if _, _, ok := New(nil).Match("swim.example", "/", "GET", nil); ok {
 		t.Error("a table without services matches")
 	}
