--- a/mesh/admitter/admitter.go
+++ b/mesh/admitter/admitter.go
@@ -56,6 +56,12 @@
 	Call(ctx context.Context, peer string, c call.Call) (answer.Answer, error)
 }
 
+// reserver makes a call with a key run at most once.
+type reserver interface {
+	// Once calls run if the call's key is proven new, and answers the call otherwise.
+	Once(ctx context.Context, c call.Call, run func(context.Context) answer.Answer) answer.Answer
+}
+
 // injector hands events to the control machines.
 type injector interface {
 	// Inject queues the event and does not block for long.
@@ -71,6 +77,7 @@
 	source   source
 	executor executor
 	linker   linker
+	reserver reserver // nil in programs without the part
 	injector injector
 	random   func(int) int
 
@@ -125,6 +132,9 @@
 	if a.linker, err = kernel.Need[linker](k); err != nil {
 		return err
 	}
+	if rs := kernel.All[reserver](k); len(rs) > 0 {
+		a.reserver = rs[0]
+	}
 	a.injector, err = kernel.Need[injector](k)
 	return err
 }
--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -72,7 +72,8 @@
 	f.Class = r.Class()
 	f.Idempotent = r.Idempotent(f.Method)
 	hurried := f.Left > 0 && limit < timeout(r, v, 0)
-	n := a.attempts(ctx, s, f, start.Add(limit), hurried)
+	run := func(ctx context.Context) answer.Answer { return a.attempts(ctx, s, f, start.Add(limit), hurried) }
+	n := a.once(ctx, f, limit, run)
 	a.meter.calls.get(population{tenant: f.Tenant, class: f.Class}).add(time.Since(start))
 	if n.Ran() == answer.No {
 		a.meter.refusals.get(n.Reason()).Add(1)
@@ -80,6 +81,15 @@
 	return n
 }
 
+// once runs the call; one that is not idempotent and has a key runs only if no attempt with the key has run.
+func (a *Admitter) once(ctx context.Context, f call.Fields, limit time.Duration, run func(context.Context) answer.Answer) answer.Answer {
+	if f.Key == "" || f.Idempotent || a.reserver == nil {
+		return run(ctx)
+	}
+	f.Left = limit.Milliseconds()
+	return a.reserver.Once(ctx, call.New(f), run)
+}
+
 // refuse returns a refusal that comes before the route is known.
 func (a *Admitter) refuse(status int, reason string) answer.Answer {
 	a.meter.refusals.get(reason).Add(1)
--- a/mesh/admitter/handle.go
+++ b/mesh/admitter/handle.go
@@ -21,6 +21,7 @@
 	headerRetried  = headerPrefix + "Retried"
 	headerDeadline = headerPrefix + "Deadline"
 	headerDepth    = headerPrefix + "Depth"
+	headerCreated  = headerPrefix + "Created"
 	headerKey      = "Idempotency-Key"
 )
 
@@ -101,12 +102,12 @@
 	if size > maxHeaders {
 		return refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeaders)
 	}
-	if v := r.Header.Get(headerDeadline); v != "" {
-		n, err := strconv.ParseInt(v, 10, 64)
-		if err != nil || n <= 0 {
-			return refuse(http.StatusBadRequest, reasonBad)
-		}
-		f.Left = n
+	var valid bool
+	if f.Left, valid = positive(r.Header.Get(headerDeadline)); !valid {
+		return refuse(http.StatusBadRequest, reasonBad)
+	}
+	if f.Created, valid = positive(r.Header.Get(headerCreated)); !valid {
+		return refuse(http.StatusBadRequest, reasonBad)
 	}
 	if v := r.Header.Get(headerDepth); v != "" && local {
 		n, err := strconv.Atoi(v)
@@ -131,6 +132,15 @@
 	return f, nil
 }
 
+// positive returns the number in a header, zero if the header is missing, and whether it is valid.
+func positive(v string) (int64, bool) {
+	if v == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	return n, err == nil && n > 0
+}
+
 // endToEnd returns the headers to pass on: neither the mesh's own nor those of the connection.
 func endToEnd(h http.Header) []call.Header {
 	hs := make([]call.Header, 0, len(h))
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -34,6 +34,7 @@
 	Key        string      `cbor:"13,keyasint,omitempty"` // idempotency key
 	Left       int64       `cbor:"14,keyasint"`           // milliseconds until the deadline
 	Depth      int         `cbor:"15,keyasint,omitempty"` // calls above this one
+	Created    int64       `cbor:"16,keyasint,omitempty"` // when the key was made, in milliseconds since 1970, or 0
 }
 
 // New returns a call with the fields, whose slices are not changed afterwards.
@@ -90,5 +91,8 @@
 // Depth returns how many calls of the mesh are above this one.
 func (c Call) Depth() int { return c.f.Depth }
 
+// Created returns when the caller says that it made the key, in milliseconds since 1970, or 0.
+func (c Call) Created() int64 { return c.f.Created }
+
 // Fields returns a copy of the values, to build a changed call from.
 func (c Call) Fields() Fields { return c.f }
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -60,6 +60,12 @@
 	Inject(e event.Event)
 }
 
+// handler takes the messages of its own kinds, which then do not reach the control machines.
+type handler interface {
+	// Handle does not block and reports whether m was of one of its kinds.
+	Handle(peer string, m message.Message) bool
+}
+
 // configured knows this node's address and region.
 type configured interface {
 	Config() machine.Config
@@ -81,6 +87,7 @@
 	log      *slog.Logger
 	server   server
 	injector injector
+	handlers []handler
 	node     string
 	region   string
 	secrets  *secrets // nil without TLS
@@ -136,6 +143,7 @@
 	if l.server, err = kernel.Need[server](k); err != nil {
 		return nil, err
 	}
+	l.handlers = kernel.All[handler](k)
 	if l.injector, err = kernel.Need[injector](k); err != nil {
 		return nil, err
 	}
@@ -304,7 +312,7 @@
 		return
 	}
 	if peer == l.node {
-		l.injector.Inject(event.NewReceived(peer, m))
+		l.receive(peer, m)
 		return
 	}
 	if !l.peer(peer).post(m) {
@@ -312,6 +320,16 @@
 	}
 }
 
+// receive gives a message to the part that handles its kind, or else to the control machines.
+func (l *Linker) receive(peer string, m message.Message) {
+	for _, h := range l.handlers {
+		if h.Handle(peer, m) {
+			return
+		}
+	}
+	l.injector.Inject(event.NewReceived(peer, m))
+}
+
 // connect dials the peer and proves the token both ways.
 func (l *Linker) connect(p *peer, why purpose) (*link, error) {
 	if l.closed.Load() {
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -7,7 +7,6 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/encoder"
-	"wisteriaspoke.example/mesh/event"
 	"wisteriaspoke.example/mesh/fault"
 )
 
@@ -21,7 +20,7 @@
 		if err != nil {
 			return err
 		}
-		l.owner.injector.Inject(event.NewReceived(l.peer.address, m))
+		l.owner.receive(l.peer.address, m)
 	case f.Type == typeCall && accepts:
 		return l.accept(ctx, f)
 	case f.Type == typeCancel && accepts:
--- a/mesh/reserver/key.go
+++ b/mesh/reserver/key.go
@@ -3,8 +3,6 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,9 +12,6 @@
 	"wisteriaspoke.example/mesh/call"
 )
 
-// HeaderCreated carries the creation time of a key that is no UUIDv7, in milliseconds since 1970.
-const HeaderCreated = "Wisteriaspoke-Created"
-
 // fullKey keeps the keys of different services and tenants apart.
 func fullKey(c call.Call) string { return c.Service() + "\x00" + c.Tenant() + "\x00" + c.Key() }
 
@@ -32,19 +27,14 @@
 	return d.Sum64()
 }
 
-// createdAt returns when the key was made: from a UUIDv7, from the header, or else as long ago as records are held; known
+// createdAt returns when the key was made: from a UUIDv7, as the caller says, or else as long ago as records are held; known
 // is false for the last.
 func createdAt(c call.Call, now time.Time) (created time.Time, known bool) {
 	if created, known = uuidTime(c.Key()); known {
 		return created, true
 	}
-	for _, h := range c.Headers() {
-		if !strings.EqualFold(h.Name, HeaderCreated) {
-			continue
-		}
-		if ms, err := strconv.ParseInt(h.Value, 10, 64); err == nil {
-			return time.UnixMilli(ms), true
-		}
+	if c.Created() > 0 {
+		return time.UnixMilli(c.Created()), true
 	}
 	return now.Add(-holdTime), false
 }
