--- a/mesh/accepter/accepter.go
+++ b/mesh/accepter/accepter.go
@@ -110,7 +110,7 @@
 			return err
 		}
 		if a.backOff(ctx, failed) != nil {
-			return fault.Wrap(fault.Unavailable, err, "the store does not answer", "try again later")
+			return fault.Wrap(fault.Unavailable, bare(err), "reading from the store was given up", "try again later")
 		}
 	}
 }
--- a/mesh/accepter/apply.go
+++ b/mesh/accepter/apply.go
@@ -52,7 +52,7 @@
 			return err
 		}
 		if a.backOff(ctx, failed) != nil {
-			return fault.Wrap(fault.Unavailable, err, "a part of the preset was not stored", "the preset is unchanged; try again later")
+			return fault.Wrap(fault.Unavailable, bare(err), "a part of the preset was not stored", "the preset is unchanged; try again later")
 		}
 	}
 }
--- a/mesh/accepter/rollouts.go
+++ b/mesh/accepter/rollouts.go
@@ -88,7 +88,7 @@
 	if q.Settle > 0 {
 		return q.Settle
 	}
-	return min(max(q.Deadline.Sub(now)/10, shortestSettle), longestSettle).Truncate(time.Millisecond)
+	return min(max(q.Deadline.Sub(now)/10, shortestSettle), longestSettle).Round(time.Second)
 }
 
 // current returns the version of a service that takes the calls.
