--- a/mesh/dispatcher/dispatcher.go
+++ b/mesh/dispatcher/dispatcher.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"os"
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/endpoint"
@@ -151,7 +154,7 @@
 	f, err := d.client.do(ctx, c)
 	took := time.Since(start)
 	measured := err == nil && f.Status < http.StatusBadRequest
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if timedOut(ctx, err) {
 		// A time-out shows load only if the caller waited for longer than calls usually take.
 		measured = took > d.limiter.Mean()
 	}
@@ -179,11 +182,11 @@
 	}
 	f := answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: reasonLost}
 	switch {
-	case errors.Is(err, errLarge):
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		f.Reason = reasonLarge
 	case errors.Is(err, errUnframed):
 		f.Reason = reasonUnframed
-	case ctx.Err() != nil:
+	case timedOut(ctx, err) || ctx.Err() != nil:
 		f.Status = http.StatusGatewayTimeout
 		f.Reason = reasonTimeout
 	case refused(d.connect()):
@@ -192,6 +195,12 @@
 	return d.loaded(f)
 }
 
+// timedOut reports whether the deadline ended the call. The connection's deadline is the same as that of ctx and may
+// be seen first.
+func timedOut(ctx context.Context, err error) bool {
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 // loaded adds the endpoint's load, for the balancers of other nodes.
 func (d *Dispatcher) loaded(f answer.Fields) answer.Answer {
 	if d.limiter != nil {
--- a/mesh/dispatcher/dispatcher_test.go
+++ b/mesh/dispatcher/dispatcher_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -334,3 +335,34 @@
 		t.Errorf("%d runs, answers are %v", runs.Load(), counts)
 	}
 }
+
+// TestIdleClose guards against a call that fails because the upstream has closed the idle connection before it.
+func TestIdleClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	closed := make(chan struct{})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				io.Copy(io.Discard, r.Body)
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+			c.Close()
+			closed <- struct{}{}
+		}
+	}()
+	d, _ := start(t, "http://"+l.Addr().String(), 1)
+	for i := range 20 {
+		if a := d.Serve(t.Context(), request("POST", "/", "x")); a.Ran() != answer.Yes || string(a.Body()) != "ok" {
+			t.Errorf("call %d: %s %s", i, a.Ran(), a.Reason())
+		}
+		<-closed
+	}
+}
