Use fasthttp for the calls of this node's callers

A request that its caller broke off is checked against its length, as fasthttp ends such a body without an error. The rest of a refused call's body is dropped, so that the refusal is not lost to a reset.

--- a/mesh/admitter/admitter.go
+++ b/mesh/admitter/admitter.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/event"
@@ -74,7 +74,7 @@
 	injector injector
 	random   func(int) int
 
-	server   *http.Server
+	server   *fasthttp.Server
 	leaving  atomic.Bool
 	finished chan struct{} // gets a value when a call ends while leaving
 	bounds   bounds
@@ -132,13 +132,22 @@
 func (a *Admitter) prepare() {
 	a.random = rand.IntN
 	a.finished = make(chan struct{}, 1)
-	a.server = &http.Server{
-		Handler:           http.HandlerFunc(a.handle),
-		ReadHeaderTimeout: headerLimit,
-		ReadTimeout:       requestLimit,
-		IdleTimeout:       idleLimit,
-		MaxHeaderBytes:    2 * maxHeaders, // over maxHeaders, handle answers with the reason
-		ErrorLog:          slog.NewLogLogger(a.log.Handler(), slog.LevelDebug),
+	a.server = &fasthttp.Server{
+		Handler:      a.handle,
+		ErrorHandler: a.failed,
+		// The listener refuses connections over the limit with a reason; this limit must not come first.
+		Concurrency:                  maxConnections + 1,
+		ReadBufferSize:               maxHeaders,
+		ReadTimeout:                  requestLimit,
+		WriteTimeout:                 requestLimit,
+		IdleTimeout:                  idleLimit,
+		MaxRequestBodySize:           buffered,
+		StreamRequestBody:            true, // so that a body is read only within the bounds
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		Logger:                       slog.NewLogLogger(a.log.Handler(), slog.LevelDebug),
 	}
 }
 
@@ -165,8 +174,8 @@
 func (a *Admitter) stop() error {
 	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
-	if err := a.server.Shutdown(ctx); err != nil {
-		return errors.Join(fault.Wrap(fault.Unavailable, err, "calls did not end in time", "raise --drain"), a.server.Close())
+	if err := a.server.ShutdownWithContext(ctx); err != nil {
+		return fault.Wrap(fault.Unavailable, err, "calls did not end in time", "raise --drain")
 	}
 	return nil
 }
--- a/mesh/admitter/admitter_test.go
+++ b/mesh/admitter/admitter_test.go
@@ -500,3 +500,31 @@
 		}
 	}
 }
+
+// TestCutRequest guards against a call that runs although its caller broke off within the body.
+func TestCutRequest(t *testing.T) {
+	url, runs := upstream(t)
+	n := run(t, "127.0.0.1:7001", url)
+	n.publisher.Publish(configuration(t, 1, share.Share{}))
+	n.publisher.Publish(endpoints(1, "127.0.0.1:7001"))
+	for _, text := range []string{
+		"POST /confirm HTTP/1.1\r\nHost: swim.example\r\nContent-Length: 10\r\n\r\nhello",
+		"POST /confirm HTTP/1.1\r\nHost: swim.example\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+		"POST /confirm HTTP/1.1\r\nHost: swim.example\r\nContent-",
+	} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		c.(*net.TCPConn).CloseWrite()
+		got, err := io.ReadAll(c)
+		if err != nil || !strings.HasPrefix(string(got), "HTTP/1.1 400 ") || !strings.Contains(string(got), "Wisteriaspoke-Ran: no\r\n") {
+			t.Errorf("%q: %v %q", text, err, got)
+		}
+		c.Close()
+	}
+	if runs.Load() != 0 {
+		t.Errorf("%d cut calls have run", runs.Load())
+	}
+}
--- a/mesh/admitter/bounds.go
+++ b/mesh/admitter/bounds.go
@@ -7,8 +7,12 @@
 )
 
 const (
-	maxHeaders     = 32 << 10
-	maxBody        = 4 << 20
+	maxHeaders = 32 << 10
+	maxBody    = 4 << 20
+	// maxDropped bounds how much of a refused call's body is read and dropped.
+	maxDropped = 4 * maxBody
+	// buffered is how much of a body is read before the bounds are checked.
+	buffered       = 64 << 10
 	maxConnections = 4096
 	// maxCalls bounds the calls in flight through this node; today's endpoints have 130 connections each.
 	maxCalls = 1024
@@ -17,7 +21,6 @@
 	// maxDepth bounds the calls above one call; a longer chain is a loop, as the deepest has 11.
 	maxDepth = 32
 
-	headerLimit  = 5 * time.Second
 	requestLimit = 30 * time.Second
 	idleLimit    = 2 * time.Minute
 )
--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -33,6 +33,7 @@
 	reasonLarge       = "large"       // body over the limit
 	reasonDepth       = "depth"       // too many calls above this one
 	reasonBad         = "bad"         // not a valid request
+	reasonSlow        = "slow"        // the request did not come in time
 )
 
 // Reasons of an endpoint's refusals that concern its next calls too.
--- a/mesh/admitter/handle.go
+++ b/mesh/admitter/handle.go
@@ -1,14 +1,18 @@
 package admitter
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
 	"strings"
 
+	"github.com/valyala/fasthttp"
+
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 )
@@ -25,36 +29,62 @@
 )
 
 // handle is the HTTP front end: it decodes the request, and encodes the answer of Do.
-func (a *Admitter) handle(w http.ResponseWriter, r *http.Request) {
-	local := a.local(r)
+func (a *Admitter) handle(x *fasthttp.RequestCtx) {
+	local := a.executor.Local(origin(x.RemoteAddr()))
 	if !local {
 		a.bounds.outside.Add(1)
 		defer a.ended()
 	}
 	if a.leaving.Load() {
-		w.Header().Set("Connection", "close")
+		x.SetConnectionClose()
 		if !local {
-			a.write(w, r.Method, a.refuse(http.StatusServiceUnavailable, reasonLeaving))
+			reject(x, a.refuse(http.StatusServiceUnavailable, reasonLeaving))
 			return
 		}
 	}
 	if !take(&a.bounds.calls, 1, maxCalls) {
-		a.write(w, r.Method, a.refuse(http.StatusServiceUnavailable, reasonWaiting))
+		reject(x, a.refuse(http.StatusServiceUnavailable, reasonWaiting))
 		return
 	}
 	defer a.bounds.calls.Add(-1)
-	reserved := bodyBound(r)
+	reserved := bodyBound(x.Request.Header.ContentLength())
 	if !take(&a.bounds.bytes, reserved, maxBytes) {
-		a.write(w, r.Method, a.refuse(http.StatusServiceUnavailable, reasonMemory))
+		reject(x, a.refuse(http.StatusServiceUnavailable, reasonMemory))
 		return
 	}
 	defer a.bounds.bytes.Add(-reserved)
-	f, refused := a.decode(w, r, local)
+	f, refused := a.decode(&x.Request, local)
 	if refused != nil {
-		a.write(w, r.Method, *refused)
+		reject(x, *refused)
 		return
 	}
-	a.write(w, r.Method, a.Do(r.Context(), f, r.Header.Get))
+	header := func(name string) string { return string(x.Request.Header.Peek(name)) }
+	write(x, a.Do(context.Background(), f, header))
+}
+
+// reject answers a request whose body may not have been read. What is left of it is dropped, up to a bound, as a
+// connection that is closed before would be reset, and the caller would not see the refusal.
+func reject(x *fasthttp.RequestCtx, n answer.Answer) {
+	if stream := x.Request.BodyStream(); stream != nil {
+		if _, err := io.CopyN(io.Discard, stream, maxDropped); err != io.EOF {
+			x.SetConnectionClose()
+		}
+	}
+	write(x, n)
+}
+
+// failed answers a request that could not be read.
+func (a *Admitter) failed(x *fasthttp.RequestCtx, err error) {
+	var large *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &large):
+		write(x, a.refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeaders))
+	case errors.As(err, &timeout) && timeout.Timeout():
+		write(x, a.refuse(http.StatusRequestTimeout, reasonSlow))
+	default:
+		write(x, a.refuse(http.StatusBadRequest, reasonBad))
+	}
 }
 
 // ended counts the end of a call from outside and tells Drain.
@@ -69,46 +99,47 @@
 	}
 }
 
-func (a *Admitter) local(r *http.Request) bool {
-	p, err := netip.ParseAddrPort(r.RemoteAddr)
-	return err == nil && a.executor.Local(p.Addr())
+// origin returns the caller's IP address, or the zero Addr.
+func origin(a net.Addr) netip.Addr {
+	if t, ok := a.(*net.TCPAddr); ok {
+		return t.AddrPort().Addr()
+	}
+	return netip.Addr{}
 }
 
-// bodyBound returns how many bytes the request's body may take.
-func bodyBound(r *http.Request) int64 {
-	if r.ContentLength < 0 {
+// bodyBound returns how many bytes a body may take; a negative length means that it is not known.
+func bodyBound(length int) int64 {
+	switch {
+	case length == -1:
 		return maxBody
+	case length < 0:
+		return 0
 	}
-	return min(r.ContentLength, maxBody)
+	return int64(min(length, maxBody))
 }
 
 // decode returns the call without its route, or why it is refused.
-func (a *Admitter) decode(w http.ResponseWriter, r *http.Request, local bool) (call.Fields, *answer.Answer) {
+func (a *Admitter) decode(q *fasthttp.Request, local bool) (call.Fields, *answer.Answer) {
 	refuse := func(status int, reason string) (call.Fields, *answer.Answer) {
 		n := a.refuse(status, reason)
 		return call.Fields{}, &n
 	}
-	f := call.Fields{ID: rand.Uint64(), Method: r.Method, Host: r.Host, Path: r.URL.RequestURI(), Key: r.Header.Get(headerKey)}
-	if !strings.HasPrefix(f.Path, "/") || r.Method == http.MethodConnect {
-		return refuse(http.StatusBadRequest, reasonBad)
+	h := &q.Header
+	f := call.Fields{
+		ID: rand.Uint64(), Method: string(h.Method()), Host: string(h.Host()), Path: string(h.RequestURI()),
+		Key: string(h.Peek(headerKey)),
 	}
-	size := 0
-	for n, vs := range r.Header {
-		for _, v := range vs {
-			size += len(n) + len(v)
-		}
-	}
-	if size > maxHeaders {
-		return refuse(http.StatusRequestHeaderFieldsTooLarge, reasonHeaders)
+	if !strings.HasPrefix(f.Path, "/") || f.Method == http.MethodConnect {
+		return refuse(http.StatusBadRequest, reasonBad)
 	}
-	if v := r.Header.Get(headerDeadline); v != "" {
+	if v := string(h.Peek(headerDeadline)); v != "" {
 		n, err := strconv.ParseInt(v, 10, 64)
 		if err != nil || n <= 0 {
 			return refuse(http.StatusBadRequest, reasonBad)
 		}
 		f.Left = n
 	}
-	if v := r.Header.Get(headerDepth); v != "" && local {
+	if v := string(h.Peek(headerDepth)); v != "" && local {
 		n, err := strconv.Atoi(v)
 		if err != nil || n < 0 {
 			return refuse(http.StatusBadRequest, reasonBad)
@@ -118,58 +149,75 @@
 		}
 		f.Depth = n
 	}
-	f.Headers = endToEnd(r.Header)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	f.Headers = endToEnd(h)
+	if h.ContentLength() > maxBody {
 		return refuse(http.StatusRequestEntityTooLarge, reasonLarge)
 	}
+	body, err := read(q)
 	if err != nil {
 		return refuse(http.StatusBadRequest, reasonBad)
 	}
+	if len(body) > maxBody {
+		return refuse(http.StatusRequestEntityTooLarge, reasonLarge)
+	}
 	f.Body = body
 	return f, nil
 }
 
+// read returns the whole body, or one byte over the limit of a larger one.
+func read(q *fasthttp.Request) ([]byte, error) {
+	stream := q.BodyStream()
+	if stream == nil {
+		return append([]byte(nil), q.Body()...), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, maxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	// fasthttp ends the stream of a body with a length without an error when the caller breaks off.
+	if n := q.Header.ContentLength(); n >= 0 && len(body) < n {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return body, nil
+}
+
 // endToEnd returns the headers to pass on: neither the mesh's own nor those of the connection.
-func endToEnd(h http.Header) []call.Header {
-	hs := make([]call.Header, 0, len(h))
-	for n, vs := range h {
-		if strings.HasPrefix(n, headerPrefix) || connectionOnly(h, n) {
+func endToEnd(h *fasthttp.RequestHeader) []call.Header {
+	named := string(h.Peek("Connection"))
+	hs := make([]call.Header, 0, 8)
+	for n, v := range h.All() {
+		name := string(n)
+		if strings.HasPrefix(name, headerPrefix) || connectionOnly(named, name) {
 			continue
 		}
-		for _, v := range vs {
-			hs = append(hs, call.Header{Name: n, Value: v})
-		}
+		hs = append(hs, call.Header{Name: name, Value: string(v)})
 	}
 	return hs
 }
 
 // connectionOnly reports whether a header belongs to the connection, by RFC 9110, section 7.6.1, or by the Connection
-// header. The length and the expectation of the body end here too, as the body is read whole.
-func connectionOnly(h http.Header, name string) bool {
+// header. The host has its own field, and the length and the expectation of the body end here, as it is read whole.
+func connectionOnly(connection, name string) bool {
 	switch name {
 	case "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-		"Transfer-Encoding", "Upgrade", "Content-Length", "Expect":
+		"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Host":
 		return true
 	}
-	for _, v := range h["Connection"] {
-		for n := range strings.SplitSeq(v, ",") {
-			if strings.EqualFold(strings.TrimSpace(n), name) {
-				return true
-			}
+	for n := range strings.SplitSeq(connection, ",") {
+		if strings.EqualFold(strings.TrimSpace(n), name) {
+			return true
 		}
 	}
 	return false
 }
 
 // write encodes an answer; a refusal's body is its reason.
-func (a *Admitter) write(w http.ResponseWriter, method string, n answer.Answer) {
-	h := w.Header()
+func write(x *fasthttp.RequestCtx, n answer.Answer) {
+	h := &x.Response.Header
+	x.SetStatusCode(n.Status())
 	for _, l := range n.Headers() {
 		h.Add(l.Name, l.Value)
 	}
-	body := n.Body()
 	h.Set(headerRan, string(n.Ran()))
 	if n.Reason() != "" {
 		h.Set(headerReason, n.Reason())
@@ -178,23 +226,9 @@
 		h.Set(headerRetried, "1")
 	}
 	if n.Ran() != answer.Yes {
-		h.Set("Content-Type", "text/plain; charset=utf-8")
-		body = []byte(n.Reason() + "\n")
-	}
-	if method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(body)))
-	}
-	if n.Status() == http.StatusNoContent || n.Status() == http.StatusNotModified {
-		h.Del("Content-Length")
-	}
-	if _, typed := h["Content-Type"]; !typed {
-		h["Content-Type"] = nil // keeps net/http from guessing a type that the upstream did not give
-	}
-	w.WriteHeader(n.Status())
-	if method == http.MethodHead {
+		h.SetContentType("text/plain; charset=utf-8")
+		x.SetBodyString(n.Reason() + "\n")
 		return
 	}
-	if _, err := w.Write(body); err != nil {
-		a.log.Debug("caller left", "error", err)
-	}
+	x.Response.SetBodyRaw(n.Body())
 }
