--- a/mesh/admitter/admitter.go
+++ b/mesh/admitter/admitter.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"wisteriaspoke.example/mesh/answer"
@@ -131,6 +132,7 @@
 
 func (a *Admitter) prepare() {
 	a.random = rand.IntN
+	a.meter.registry = metrics.DefaultRegistry
 	a.finished = make(chan struct{}, 1)
 	a.server = &fasthttp.Server{
 		Handler:      a.handle,
--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -74,16 +74,16 @@
 	f.Idempotent = r.Idempotent(f.Method)
 	hurried := f.Left > 0 && limit < timeout(r, v, 0)
 	n := a.attempts(ctx, s, f, start.Add(limit), hurried)
-	a.meter.calls.get(population{tenant: f.Tenant, class: f.Class}).add(time.Since(start))
+	a.meter.ended(population{tenant: f.Tenant, class: f.Class}, time.Since(start))
 	if n.Ran() == answer.No {
-		a.meter.refusals.get(n.Reason()).Add(1)
+		a.meter.refused(n.Reason())
 	}
 	return n
 }
 
 // refuse returns a refusal that comes before the route is known.
 func (a *Admitter) refuse(status int, reason string) answer.Answer {
-	a.meter.refusals.get(reason).Add(1)
+	a.meter.refused(reason)
 	return answer.New(answer.Fields{Status: status, Ran: answer.No, Reason: reason})
 }
 
@@ -112,7 +112,7 @@
 // have run, as Ran "no" would then be false for the call as a whole. A hurried call has a shorter deadline than its
 // route.
 func (a *Admitter) attempts(ctx context.Context, s *snapshot.Snapshot, f call.Fields, deadline time.Time, hurried bool) answer.Answer {
-	own := a.budgets.get(f.Service)
+	own := a.budgets.get(f.Service, newBudget)
 	own.Earn()
 	a.budget.Earn()
 	var failed []*snapshot.Member
@@ -139,6 +139,8 @@
 	}
 }
 
+func newBudget() *retrier.Budget { return new(retrier.Budget) }
+
 // marked adds that a retry was used or was not affordable, so that the hop above does not retry.
 func marked(n answer.Answer, retried bool) answer.Answer {
 	if !retried || n.Retried() {
--- a/mesh/admitter/registry.go
+++ b/mesh/admitter/registry.go
@@ -10,8 +10,8 @@
 	current atomic.Pointer[map[K]*V]
 }
 
-// get returns the key's value, which is new and zero at the first use.
-func (r *registry[K, V]) get(key K) *V {
+// get returns the key's value, which create makes at the first use. Of several made at once, all callers get the same.
+func (r *registry[K, V]) get(key K, create func() *V) *V {
 	var added *V
 	for {
 		old := r.current.Load()
@@ -25,7 +25,7 @@
 			next = map[K]*V{}
 		}
 		if added == nil {
-			added = new(V)
+			added = create()
 		}
 		next[key] = added
 		if r.current.CompareAndSwap(old, &next) {
--- a/mesh/admitter/tally.go
+++ b/mesh/admitter/tally.go
@@ -21,13 +21,15 @@
 	latency                        [outcome.Buckets]atomic.Uint64
 }
 
+func newCell() *cell { return new(cell) }
+
 // crashed is the dispatcher's reason for a call that was in flight when its upstream died.
 const crashed = "crashed"
 
 // add counts one attempt on the route at the endpoint.
 func (t *tally) add(m *snapshot.Member, route string, n answer.Answer, took time.Duration) {
 	e := m.Endpoint()
-	c := t.cells.get(outcome.Key{Service: e.Service(), Version: e.Version(), Route: route, Region: e.Region()})
+	c := t.cells.get(outcome.Key{Service: e.Service(), Version: e.Version(), Route: route, Region: e.Region()}, newCell)
 	if n.Ran() == answer.No {
 		c.shed.Add(1)
 		return
