Pay for a retry only if there is an endpoint for it

TestDepth runs 11 admitters in a chain over a failing service in virtual time: 1.109 runs for each call at depth 1 and at depth 11, after 1.000 when the only endpoint was paid for but excluded.

--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -118,11 +118,8 @@
 	var failed []*snapshot.Member
 	var retried bool
 	last := answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonNone})
-	for attempt := 1; ; attempt++ {
-		m := balancer.Pick(s, f.Service, a.random, time.Now(), failed)
-		if m == nil {
-			return marked(last, retried)
-		}
+	m := balancer.Pick(s, f.Service, a.random, time.Now(), nil)
+	for attempt := 1; m != nil; attempt++ {
 		f.Version = m.Endpoint().Version()
 		f.Left = max(1, time.Until(deadline).Milliseconds())
 		n := a.attempt(ctx, m, call.New(f), hurried)
@@ -131,12 +128,22 @@
 		}
 		d := retrier.Next(attempt, n, f.Idempotent, own.Enough() && a.budget.Enough(), time.Until(deadline), a.random)
 		retried = retried || d.Exhausted()
-		if !d.Retry() || !a.spend(own) || !pause(ctx, d.Wait()) {
-			return marked(last, retried)
+		if !d.Retry() {
+			break
 		}
-		retried = true
 		failed = append(failed, m)
+		// A retry is paid for only if there is an endpoint for it.
+		m = balancer.Pick(s, f.Service, a.random, time.Now(), failed)
+		if m == nil {
+			break
+		}
+		// Marked also if another call has just used the budget up.
+		retried = true
+		if !a.spend(own) || !pause(ctx, d.Wait()) {
+			break
+		}
 	}
+	return marked(last, retried)
 }
 
 func newBudget() *retrier.Budget { return new(retrier.Budget) }
--- a/mesh/publisher/publisher.go
+++ b/mesh/publisher/publisher.go
@@ -51,10 +51,10 @@
 	incarnation uint64
 }
 
-// New returns a publisher for a node at the place.
+// New returns a publisher for a node at the place; it logs once it is started.
 func New(p snapshot.Place) *Publisher {
 	return &Publisher{
-		log:      slog.Default(),
+		log:      slog.New(slog.DiscardHandler),
 		place:    p,
 		groups:   map[string]map[string]group.Group{},
 		verdicts: map[string][]verdict.Verdict{},
--- a/mesh/publisher/publisher_test.go
+++ b/mesh/publisher/publisher_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"log/slog"
 	"sync"
 	"testing"
 	"time"
@@ -45,11 +44,7 @@
 	return group.New(centre, "meldung", epoch, sequence, es)
 }
 
-func newPublisher() *Publisher {
-	p := New(snapshot.Place{DataCentre: "obb-a", Region: "obb"})
-	p.log = slog.New(slog.DiscardHandler)
-	return p
-}
+func newPublisher() *Publisher { return New(snapshot.Place{DataCentre: "obb-a", Region: "obb"}) }
 
 // TestVersions guards against a return to an older configuration and a route without its service.
 func TestVersions(t *testing.T) {
