--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -33,6 +33,7 @@
 	reasonLarge       = "large"       // body over the limit
 	reasonDepth       = "depth"       // too many calls above this one
 	reasonBad         = "bad"         // not a valid request
+	reasonSlow        = "slow"        // the request did not come in time
 )
 
 // Reasons of an endpoint's refusals that concern its next calls too.
@@ -74,9 +75,9 @@
 	hurried := f.Left > 0 && limit < timeout(r, v, 0)
 	run := func(ctx context.Context) answer.Answer { return a.attempts(ctx, s, f, start.Add(limit), hurried) }
 	n := a.once(ctx, f, limit, run)
-	a.meter.calls.get(population{tenant: f.Tenant, class: f.Class}).add(time.Since(start))
+	a.meter.ended(population{tenant: f.Tenant, class: f.Class}, time.Since(start))
 	if n.Ran() == answer.No {
-		a.meter.refusals.get(n.Reason()).Add(1)
+		a.meter.refused(n.Reason())
 	}
 	return n
 }
@@ -92,7 +93,7 @@
 
 // refuse returns a refusal that comes before the route is known.
 func (a *Admitter) refuse(status int, reason string) answer.Answer {
-	a.meter.refusals.get(reason).Add(1)
+	a.meter.refused(reason)
 	return answer.New(answer.Fields{Status: status, Ran: answer.No, Reason: reason})
 }
 
@@ -121,17 +122,14 @@
 // have run, as Ran "no" would then be false for the call as a whole. A hurried call has a shorter deadline than its
 // route.
 func (a *Admitter) attempts(ctx context.Context, s *snapshot.Snapshot, f call.Fields, deadline time.Time, hurried bool) answer.Answer {
-	own := a.budgets.get(f.Service)
+	own := a.budgets.get(f.Service, newBudget)
 	own.Earn()
 	a.budget.Earn()
 	var failed []*snapshot.Member
 	var retried bool
 	last := answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonNone})
-	for attempt := 1; ; attempt++ {
-		m := balancer.Pick(s, f.Service, a.random, time.Now(), failed)
-		if m == nil {
-			return marked(last, retried)
-		}
+	m := balancer.Pick(s, f.Service, a.random, time.Now(), nil)
+	for attempt := 1; m != nil; attempt++ {
 		f.Version = m.Endpoint().Version()
 		f.Left = max(1, time.Until(deadline).Milliseconds())
 		n := a.attempt(ctx, m, call.New(f), hurried)
@@ -140,14 +138,26 @@
 		}
 		d := retrier.Next(attempt, n, f.Idempotent, own.Enough() && a.budget.Enough(), time.Until(deadline), a.random)
 		retried = retried || d.Exhausted()
-		if !d.Retry() || !a.spend(own) || !pause(ctx, d.Wait()) {
-			return marked(last, retried)
+		if !d.Retry() {
+			break
 		}
-		retried = true
 		failed = append(failed, m)
+		// A retry is paid for only if there is an endpoint for it.
+		m = balancer.Pick(s, f.Service, a.random, time.Now(), failed)
+		if m == nil {
+			break
+		}
+		// Marked also if another call has just used the budget up.
+		retried = true
+		if !a.spend(own) || !pause(ctx, d.Wait()) {
+			break
+		}
 	}
+	return marked(last, retried)
 }
 
+func newBudget() *retrier.Budget { return new(retrier.Budget) }
+
 // marked adds that a retry was used or was not affordable, so that the hop above does not retry.
 func marked(n answer.Answer, retried bool) answer.Answer {
 	if !retried || n.Retried() {
