relayer: keep the floor above withheld versions; test refusals, poison and roles

Cause: a node restarted after it had applied a withheld version got the older one, because the relay lowered the floor below every refused version. Ruled out: the withheld state itself, which no relay served. Only versions whose content is wrong lower the floor, and relays tell each other about them; restarted nodes that may have applied a withheld version wait for the next one.

--- a/mesh/differ/delta.go
+++ b/mesh/differ/delta.go
@@ -27,8 +27,19 @@
 	Digest   uint64                 `cbor:"8,keyasint"`
 }
 
+// encMode sorts map keys, so that equal deltas have equal encodings.
+var encMode = newEncMode()
+
+func newEncMode() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic("differ: the deterministic encoding is a valid option: " + err.Error())
+	}
+	return m
+}
+
 // MarshalCBOR writes the delta for messages between nodes.
-func (d Delta) MarshalCBOR() ([]byte, error) { return cbor.Marshal(d.w) }
+func (d Delta) MarshalCBOR() ([]byte, error) { return encMode.Marshal(d.w) }
 
 // UnmarshalCBOR reads the delta from a message between nodes.
 func (d *Delta) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &d.w) }
--- /dev/null
+++ b/mesh/differ/differ_test.go
@@ -0,0 +1,175 @@
+package differ
+
+import (
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/share"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func compare(t *testing.T, file, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("differs from %s:\n%s", file, got)
+	}
+}
+
+// state builds a state from words "name=version", "name=version>dependency,dependency" and "name%permille".
+func state(t *testing.T, version uint64, words string) (State, error) {
+	t.Helper()
+	parts, shares := map[string]Part{}, map[string]share.Share{}
+	for _, w := range strings.Fields(words) {
+		if name, permille, ok := strings.Cut(w, "%"); ok {
+			n := 0
+			fmt.Sscan(permille, &n)
+			shares[name] = share.New("1", "2", n, "r", 1)
+			continue
+		}
+		name, rest, _ := strings.Cut(w, "=")
+		v, depends, has := strings.Cut(rest, ">")
+		spec := fmt.Sprintf(`{"name":%q,"version":%q}`, name, v)
+		if has {
+			spec = fmt.Sprintf(`{"name":%q,"version":%q,"depends":["%s"]}`, name, v, strings.ReplaceAll(depends, ",", `","`))
+		}
+		p, err := DecodePart([]byte(spec))
+		if err != nil {
+			t.Fatal(err)
+		}
+		parts[name] = p
+	}
+	return New(version, "ordinary", parts, shares)
+}
+
+// cases are numbered; guard says which failure the case guards against.
+var cases = []struct {
+	guard, base, next, own string
+	demanded               []string
+}{
+	{guard: "unchanged parts sent again", base: "a=1 b=1", next: "a=2 b=1"},
+	{guard: "a removed service kept", base: "a=1 b=1", next: "b=1"},
+	{guard: "a changed share lost", base: "a=1 a%50", next: "a=1 a%250"},
+	{guard: "a removed share kept", base: "a=1 a%50", next: "a=1"},
+	{guard: "the whole state not sent without a base", next: "a=1 b=1 b%50"},
+	{guard: "services sent that the upstream does not call", base: "a=1>b b=1 c=1", next: "a=1>b b=1 c=2 c%50", own: "a"},
+	{guard: "a demanded service not sent", base: "a=1>b b=1 c=1", next: "a=1>b b=1 c=2 c%50", own: "a", demanded: []string{"c"}},
+	{guard: "a new dependency not sent", base: "a=1>b b=1 c=1", next: "a=1>b,c b=1 c=1", own: "a"},
+	{guard: "all services not sent without dependencies", base: "a=1 b=1", next: "a=1 b=2", own: "a"},
+}
+
+// TestDeltas compares each case's delta and its encoding with the golden file, and requires that it leads from the
+// base to exactly the next state.
+func TestDeltas(t *testing.T) {
+	var out strings.Builder
+	for i, c := range cases {
+		base, err := state(t, 1, c.base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.base == "" {
+			base = State{}
+		}
+		next, err := state(t, 2, c.next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		base, next = base.Filter(c.own, c.demanded), next.Filter(c.own, c.demanded)
+		d := Between(base, next)
+		data, err := cbor.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "%02d guards against %s\n   from %q to %q for %q %v\n", i+1, c.guard, c.base, c.next, c.own, c.demanded)
+		fmt.Fprintf(&out, "   version %d base %d parts %s removed %v shares %d unshared %v\n", d.w.Version, d.w.Base, d.w.Parts,
+			d.w.Removed, len(d.w.Shares), d.w.Unshared)
+		fmt.Fprintf(&out, "   %s\n", hex.EncodeToString(data))
+		var read Delta
+		if err := cbor.Unmarshal(data, &read); err != nil {
+			t.Fatal(err)
+		}
+		got, err := Apply(base, read)
+		if err != nil || got.Digest() != next.Digest() {
+			t.Errorf("case %d: Apply gives digest %x and error %v, want %x", i+1, got.Digest(), err, next.Digest())
+		}
+	}
+	compare(t, "testdata/deltas.golden", out.String())
+}
+
+// TestRefused guards against a state that is applied although its base, its digest or its content is wrong.
+func TestRefused(t *testing.T) {
+	one, _ := state(t, 1, "a=1 b=1")
+	two, _ := state(t, 2, "a=2 b=1")
+	three, _ := state(t, 3, "a=2 b=2")
+	other, _ := state(t, 1, "a=1 b=3")
+	wrongDigest := Between(one, two)
+	wrongDigest.w.Digest++
+	undecodable := Between(one, two)
+	undecodable.w.Parts = [][]byte{[]byte("{")}
+	for _, c := range []struct {
+		name  string
+		base  State
+		delta Delta
+		kind  fault.Kind
+	}{
+		{"another base version", one, Between(two, three), fault.Conflict},
+		{"another base content", other, Between(one, two), fault.Conflict},
+		{"another digest", one, wrongDigest, fault.Conflict},
+		{"an undecodable part", one, undecodable, fault.Invalid},
+	} {
+		if _, err := Apply(c.base, c.delta); fault.KindOf(err) != c.kind {
+			t.Errorf("%s: error %v, want kind %q", c.name, err, c.kind)
+		}
+	}
+	if _, err := state(t, 1, "a=1 z%50"); fault.KindOf(err) != fault.Invalid {
+		t.Errorf("a share of a missing service: error %v, want kind invalid", err)
+	}
+}
+
+// TestRandomChains guards against a delta that loses a change: random states follow each other, and the applied one
+// must stay equal.
+func TestRandomChains(t *testing.T) {
+	for seed := uint64(1); seed <= 50; seed++ {
+		rand := rand.New(rand.NewPCG(seed, 1))
+		var applied, base State
+		for version := uint64(1); version <= 30; version++ {
+			var words []string
+			for _, name := range []string{"a", "b", "c", "d", "e"} {
+				if rand.IntN(4) == 0 {
+					continue
+				}
+				words = append(words, fmt.Sprintf("%s=%d", name, rand.IntN(3)))
+				if rand.IntN(2) == 0 {
+					words = append(words, fmt.Sprintf("%s%%%d", name, rand.IntN(3)))
+				}
+			}
+			next, err := state(t, version, strings.Join(words, " "))
+			if err != nil {
+				t.Fatal(err)
+			}
+			applied, err = Apply(applied, Between(base, next))
+			if err != nil || applied.Digest() != next.Digest() || applied.sum() != next.Digest() {
+				t.Fatalf("seed %d version %d: %v", seed, version, err)
+			}
+			base = next
+		}
+	}
+}
--- a/mesh/differ/state.go
+++ b/mesh/differ/state.go
@@ -120,10 +120,10 @@
 // Filter returns the state with the services that an upstream of own needs: itself, those it depends on and those
 // demanded. All remain when own is empty, unknown, or lists no dependencies.
 func (s State) Filter(own string, demanded []string) State {
-	p, ok := s.parts[own]
-	if own == "" || !ok || len(p.service.Depends()) == 0 {
+	if s.Unfiltered(own) {
 		return s
 	}
+	p := s.parts[own]
 	f := State{version: s.version, preset: s.preset, parts: map[string]Part{own: p}, shares: map[string]share.Share{}}
 	for _, names := range [][]string{p.service.Depends(), demanded} {
 		for _, name := range names {
@@ -140,3 +140,9 @@
 	f.digest = f.sum()
 	return f
 }
+
+// Unfiltered reports whether an upstream of own needs all services of the state.
+func (s State) Unfiltered(own string) bool {
+	p, ok := s.parts[own]
+	return own == "" || !ok || len(p.service.Depends()) == 0
+}
--- a/mesh/relayer/assemble.go
+++ b/mesh/relayer/assemble.go
@@ -22,7 +22,7 @@
 func (r *relayer) assemble() {
 	s := &r.supply
 	h := s.head
-	if r.seat < 0 || h.Version() <= s.latest.Version() || h.Version() == s.refused {
+	if r.seat < 0 || h.Version() <= s.latest.Version() || s.refusals[h.Version()] || h.Version() == s.withheld.Version() {
 		return
 	}
 	parts := make(map[string]differ.Part, len(h.Parts()))
--- a/mesh/relayer/floor.go
+++ b/mesh/relayer/floor.go
@@ -47,11 +47,12 @@
 	if r.supply.heard.IsZero() || r.supply.heard.Before(started) {
 		return false
 	}
-	value := r.supply.head.Version()
-	if value == r.supply.refused {
-		// No node applies a refused version, so it cannot be the floor.
-		value = r.supply.latest.Version()
+	if !r.supply.settled() {
+		return false
 	}
+	// No node applies a version with wrong content, so it cannot be the floor. A withheld version can: the relays' own
+	// nodes applied it, and they must not go back.
+	value := r.supply.below(r.supply.head.Version())
 	c.waits = false
 	r.send(address, pulseKind, &pulse{
 		Version: r.supply.confirmed, Nodes: r.fleet(), Stamp: c.sub.Stamp, Floor: value, Out: r.store.out,
--- a/mesh/relayer/leases.go
+++ b/mesh/relayer/leases.go
@@ -250,7 +250,7 @@
 	r.claim.attempt, r.claim.marked = 0, 0
 	r.store.budget.widen(relayRate, relayBurst)
 	r.supply.suspect(r.leases[i].Orphan())
-	r.supply.seed(r.client.state)
+	r.supply.seed(r.client.state, r.config.Service)
 	r.finder.listAt = r.now
 	r.watch = watch{confirmAt: r.now}
 	r.noteSelf()
--- a/mesh/relayer/messages.go
+++ b/mesh/relayer/messages.go
@@ -67,6 +67,8 @@
 	Confirmed uint64 `cbor:"2,keyasint,omitempty"`
 	Digest    uint64 `cbor:"3,keyasint,omitempty"` // of the latest state
 	Seats     []seat `cbor:"4,keyasint,omitempty"`
+	Refused   uint64 `cbor:"5,keyasint,omitempty"` // newest version whose content is wrong
+	Reason    string `cbor:"6,keyasint,omitempty"`
 }
 
 func init() {
--- /dev/null
+++ b/mesh/relayer/messages_test.go
@@ -0,0 +1,66 @@
+package relayer
+
+import (
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"wisteriaspoke.example/mesh/encoder"
+	"wisteriaspoke.example/mesh/message"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func compare(t *testing.T, file, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(file, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("differs from %s:\n%s", file, got)
+	}
+}
+
+// TestMessages guards against a change of an encoding that nodes of another release could not read.
+func TestMessages(t *testing.T) {
+	seats := []seat{{Centre: "obb-a", Region: "obb", Index: 1, Holder: "10.0.0.1:7000", Epoch: 3, Renewed: 1_000_000, Age: 40}}
+	bodies := []struct {
+		kind string
+		body any
+	}{
+		{askKind, &ask{}},
+		{knownKind, &known{Seats: seats, Centre: "obb-a", Version: 7}},
+		{subscribeKind, &subscribe{
+			Centre: "obb-a", Service: "meldung", Demanded: []string{"ergebnis"}, Version: 6, Digest: 0xfeed, Refused: 7,
+			Reason: "missing", Push: true, Pull: true, Relay: true, Stamp: 12,
+		}},
+		{subscribeKind, &subscribe{Centre: "obb-a", Version: 6, Digest: 0xfeed, Push: true}},
+		{pulseKind, &pulse{Version: 7, Seats: seats, Nodes: 3, Stamp: 12, Floor: 7, Out: true}},
+		{laterKind, &later{Wait: 450}},
+		{syncKind, &syncing{Latest: 8, Confirmed: 7, Digest: 0xfeed, Seats: seats, Refused: 9, Reason: "missing"}},
+	}
+	var out strings.Builder
+	for i, b := range bodies {
+		data, err := encoder.Encode(message.New(b.kind, b.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "%02d %-9s %3d bytes %s\n", i+1, b.kind, len(data), hex.EncodeToString(data))
+		m, err := encoder.Decode(data)
+		if err != nil || m.Kind() != b.kind || !reflect.DeepEqual(m.Body(), b.body) {
+			t.Errorf("case %d decodes to %v with error %v", i+1, m, err)
+		}
+	}
+	compare(t, "testdata/messages.golden", out.String())
+}
--- a/mesh/relayer/peers.go
+++ b/mesh/relayer/peers.go
@@ -71,9 +71,14 @@
 	for _, h := range r.regionPeers() {
 		regional[h.holder] = true
 	}
+	var refused uint64
+	var reason string
+	if r.supply.refusals[r.supply.refused] && r.supply.refused > r.supply.latest.Version() {
+		refused, reason = r.supply.refused, r.supply.reason
+	}
 	for _, address := range r.peerAddresses() {
 		r.send(address, syncKind, &syncing{
-			Latest: r.supply.latest.Version(), Confirmed: r.supply.confirmed, Digest: r.supply.latest.Digest(),
+			Refused: refused, Reason: reason, Latest: r.supply.latest.Version(), Confirmed: r.supply.confirmed, Digest: r.supply.latest.Digest(),
 			Seats: r.table.seats(r.now, func(h *holding) bool {
 				own := h.centre == r.config.DataCentre && h.index == r.seat
 				return own || (regional[address] && whole) || (!regional[address] && h.region == r.config.Region)
@@ -94,6 +99,10 @@
 		s.peers[from] = p
 	}
 	p.latest, p.confirmed, p.digest, p.heard = m.Latest, m.Confirmed, m.Digest, r.now
+	if m.Refused > 0 && !s.refusals[m.Refused] {
+		r.refuse(m.Refused, m.Reason)
+		r.answerFloors()
+	}
 	if _, ok := s.at(m.Confirmed); ok {
 		r.confirm(m.Confirmed)
 	}
--- /dev/null
+++ b/mesh/relayer/policy_test.go
@@ -0,0 +1,226 @@
+package relayer
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"wisteriaspoke.example/mesh/config"
+	"wisteriaspoke.example/mesh/controller"
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/head"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/report"
+	"wisteriaspoke.example/mesh/roster"
+	"wisteriaspoke.example/mesh/share"
+)
+
+const policySeeds = 8
+
+func eachSeed(t *testing.T, run func(t *testing.T, f *fleet)) {
+	for seed := uint64(1); seed <= policySeeds; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, seed, nil)
+			f.converge(15 * time.Second)
+			f.sim.Run(5 * time.Second)
+			run(t, f)
+			f.finish()
+		})
+	}
+}
+
+// reasons returns the reasons in all reports in the store.
+func (f *fleet) reasons() string {
+	var all []string
+	for _, dc := range f.centres() {
+		var p report.Report
+		if err := json.Unmarshal(f.sim.Store().Object(report.Plural, dc).Spec(), &p); err != nil {
+			f.t.Fatal(err)
+		}
+		for _, l := range p.Laggards() {
+			all = append(all, l.Reason)
+		}
+	}
+	return strings.Join(all, "\n")
+}
+
+// TestBadVersionRefused guards against a version that is applied in part, and against one that blocks its successors.
+func TestBadVersionRefused(t *testing.T) {
+	bad := map[string]struct {
+		accept func(f *fleet)
+		reason string
+	}{
+		"missing part": {func(f *fleet) {
+			f.accept(func(parts map[string]string) { parts["meldung"] = "0123456789abcdef" })
+		}, "is missing in the store"},
+		"undecodable part": {func(f *fleet) {
+			f.accept(func(parts map[string]string) {
+				parts["meldung"] = "0123456789abcdef"
+				f.sim.Store().Put("parts", "0123456789abcdef", []byte(`{"name":7}`))
+			})
+		}, "cannot be decoded"},
+		"another service's part": {func(f *fleet) {
+			f.accept(func(parts map[string]string) { parts["meldung"] = parts["ergebnis"] })
+		}, `under the name "meldung"`},
+		"share of a missing service": {func(f *fleet) {
+			f.put(f.head.WithShare("missing", share.New("1", "2", 50, "r", 1), "token", "test"))
+		}, `no definition of it`},
+	}
+	for name, c := range bad {
+		t.Run(name, func(t *testing.T) {
+			eachSeed(t, func(t *testing.T, f *fleet) {
+				before := f.head
+				c.accept(f)
+				f.sim.Run(5 * time.Second)
+				if ls := f.laggingWithout(before.Version(), func(string) bool { return false }); len(ls) > 0 {
+					t.Errorf("the bad version was applied: %v", ls)
+				}
+				if !strings.Contains(f.reasons(), c.reason) {
+					t.Errorf("no report says %q but %q", c.reason, f.reasons())
+				}
+				f.head = head.Head{}
+				f.head = before.WithPreset("ordinary", before.Parts(), "skipped", "test")
+				f.accept(nil)
+				f.converge(2 * time.Second)
+			})
+		})
+	}
+}
+
+// TestPoison guards against a version that stops every node: only relays may apply it, and its successor must arrive.
+func TestPoison(t *testing.T) {
+	eachSeed(t, func(t *testing.T, f *fleet) {
+		poison := f.head.Version() + 1
+		check := f.sim.Published
+		died := 0
+		f.sim.Published = func(now time.Time, node string, value any) {
+			check(now, node, value)
+			if c, ok := value.(config.Config); ok && c.Version() == poison {
+				died++
+				f.sim.After(0, func() { f.sim.Kill(node) })
+			}
+		}
+		f.accept(nil)
+		f.sim.Run(20 * time.Second)
+		// 12 of the 18 nodes are relays.
+		if died > 12 {
+			t.Errorf("%d nodes died of the version", died)
+		}
+		f.perform("restart")
+		f.sim.Run(20 * time.Second)
+		if died > 12 {
+			t.Errorf("%d nodes died of the version after the restart", died)
+		}
+		f.accept(nil)
+		f.converge(2 * time.Second)
+	})
+}
+
+// TestLeave guards against a planned stop that leaves a vacancy until the lease ends.
+func TestLeave(t *testing.T) {
+	eachSeed(t, func(t *testing.T, f *fleet) {
+		leaver := f.holder("mfr-a", 0)
+		f.sim.Inject(leaver, event.NewLocal(event.Upstream, endpoint.Leaving))
+		taken := f.sim.RunUntil(1500*time.Millisecond, func() bool {
+			h := f.holder("mfr-a", 0)
+			return h != "" && h != leaver
+		})
+		if !taken {
+			t.Error("no node took the lease that was handed over")
+		}
+		f.accept(nil)
+		f.converge(2 * time.Second)
+	})
+}
+
+// TestSubscription guards against services that a node gets without need, and demanded ones that it does not get.
+func TestSubscription(t *testing.T) {
+	eachSeed(t, func(t *testing.T, f *fleet) {
+		f.accept(func(parts map[string]string) {
+			parts["startlisten"] = f.part(`{"name":"startlisten","version":"9","depends":["meldung"]}`)
+		})
+		f.converge(2 * time.Second)
+		node := ""
+		for _, n := range f.sim.Nodes() {
+			relay := false
+			for i := range seatCount {
+				relay = relay || f.holder(f.sim.Config(n).DataCentre, i) == n
+			}
+			if f.sim.Config(n).Service == "startlisten" && !relay {
+				node = n
+			}
+		}
+		if node == "" {
+			t.Skip("all nodes of startlisten are relays with this seed")
+		}
+		// The relay's delta removes what the node no longer needs.
+		if got := len(f.forced[node].Services()); got != 2 {
+			t.Errorf("%s has %d services, want 2", node, got)
+		}
+		f.sim.Inject(node, event.NewLocal(event.Demand, "ergebnis"))
+		f.sim.Run(100 * time.Millisecond)
+		if _, ok := f.forced[node].Services()["ergebnis"]; !ok {
+			t.Errorf("%s did not get the demanded service", node)
+		}
+		f.accept(nil)
+		f.converge(2 * time.Second)
+	})
+}
+
+// watcher is a machine that notes who thinks that it owns a data centre's endpoint sets.
+type watcher struct {
+	node   string
+	owners map[string]roster.Roster
+}
+
+func (w *watcher) Step(_ time.Time, e event.Event) []effect.Effect {
+	if r, ok := e.Value().(roster.Roster); ok && e.Kind() == event.Local {
+		w.owners[w.node] = r
+	}
+	return nil
+}
+
+// TestOneOwner guards against two running owners of one data centre's endpoint sets with the same epoch, also after a
+// pause that outlasts the lease.
+func TestOneOwner(t *testing.T) {
+	for seed := uint64(1); seed <= policySeeds; seed++ {
+		owners := map[string]roster.Roster{}
+		f := newFleet(t, seed, func(c machine.Config) *controller.Controller {
+			delete(owners, c.Node)
+			return &controller.Controller{Machines: []machine.Machine{New(c), &watcher{node: c.Node, owners: owners}}}
+		})
+		steps := []string{"run 20s", "freeze relay obb-a 0", "run 8s", "thaw", "run 5s", "kill relay mfr-a 0", "run 8s", "lose 0.3", "run 30s"}
+		for _, s := range steps {
+			f.perform(s)
+			for range 20 {
+				f.sim.Run(50 * time.Millisecond)
+				f.requireOneOwner(owners)
+			}
+		}
+		f.finish()
+	}
+}
+
+func (f *fleet) requireOneOwner(owners map[string]roster.Roster) {
+	f.t.Helper()
+	seen := map[string]string{}
+	for _, n := range f.sim.Nodes() {
+		paused := false
+		for _, p := range f.frozen {
+			paused = paused || p == n
+		}
+		if r := owners[n]; r.Owner() && f.sim.Alive(n) && !paused {
+			dc := f.sim.Config(n).DataCentre
+			key := fmt.Sprint(dc, " ", r.Seat(), " ", r.Epoch())
+			if seen[key] != "" {
+				f.t.Errorf("%s and %s both own %s with lease %d and epoch %d", n, seen[key], dc, r.Seat(), r.Epoch())
+			}
+			seen[key] = n
+		}
+	}
+}
--- a/mesh/relayer/server.go
+++ b/mesh/relayer/server.go
@@ -85,7 +85,8 @@
 		c.version, c.digest = m.Version, m.Digest
 	}
 	c.waits = m.Stamp > 0
-	if c.waits && !r.answerFloor(from, c) {
+	if c.waits && !r.answerFloor(from, c) && r.now.Sub(r.watch.readAt) >= floorPeriod {
+		// One read confirms the head for all nodes that wait, so a mass restart does not use up the store budget.
 		r.readHead()
 	}
 	if fresh {
--- a/mesh/relayer/supply.go
+++ b/mesh/relayer/supply.go
@@ -29,6 +29,7 @@
 	fetching map[string]bool
 	refused  uint64
 	reason   string
+	refusals map[uint64]bool // versions whose content is wrong, which no node applies
 	suspects map[uint64]bool // versions that a stopped relay was about to apply
 	withheld differ.State
 
@@ -50,7 +51,8 @@
 func newSupply() supply {
 	return supply{
 		fetched: map[string]differ.Part{}, fetching: map[string]bool{}, suspects: map[uint64]bool{},
-		peers: map[string]*peer{},
+		refusals: map[uint64]bool{},
+		peers:    map[string]*peer{},
 	}
 }
 
@@ -61,11 +63,16 @@
 	}
 }
 
-// seed makes the parts of the node's own state available, so that a new relay reads fewer from the store.
-func (s *supply) seed(state differ.State) {
+// seed makes the parts of the node's own state available, so that a new relay reads fewer from the store. A state with
+// all services is served at once: the newest version may be one that this relay withholds.
+func (s *supply) seed(state differ.State, own string) {
 	for _, p := range state.Parts() {
 		s.fetched[p.Digest()] = p
 	}
+	if state.Version() > s.latest.Version() && state.Unfiltered(own) {
+		s.latest, s.confirmed = state, state.Version()
+		s.history = append(s.history, state)
+	}
 }
 
 // at returns the state of the version, if the relay still has it.
@@ -84,8 +91,20 @@
 	return state
 }
 
-// refuse notes that a version failed its check; no part of it is distributed.
+// refuse notes that the content of a version fails its check; no part of it is distributed.
 func (r *relayer) refuse(version uint64, reason string) {
+	r.supply.refusals[version] = true
+	if r.floor.known && r.floor.value == version {
+		r.floor.value = r.supply.below(version)
+		r.publish()
+	}
+	if version > r.supply.refused {
+		r.noteRefused(version, reason)
+		r.syncAll()
+	}
+}
+
+func (r *relayer) noteRefused(version uint64, reason string) {
 	if version <= r.supply.refused {
 		return
 	}
@@ -93,6 +112,20 @@
 	r.client.refused, r.client.reason = version, reason
 }
 
+// below returns the highest version up to the given one whose content is not known to be wrong.
+func (s *supply) below(version uint64) uint64 {
+	for s.refusals[version] {
+		version--
+	}
+	return version
+}
+
+// settled reports whether the relay has or refuses the newest head.
+func (s *supply) settled() bool {
+	v := s.head.Version()
+	return v <= s.latest.Version() || s.refusals[v] || s.withheld.Version() == v
+}
+
 // accept takes a whole, checked state from the store or another relay.
 func (r *relayer) accept(state differ.State) {
 	s := &r.supply
@@ -101,7 +134,7 @@
 	}
 	if s.suspects[state.Version()] && !r.confirmedElsewhere(state.Version()) {
 		s.withheld = state
-		r.refuse(state.Version(), fmt.Sprintf("a relay stopped while it applied version %d", state.Version()))
+		r.noteRefused(state.Version(), fmt.Sprintf("a relay stopped while it applied version %d", state.Version()))
 		return
 	}
 	s.latest = state
--- a/mesh/relayer/watch.go
+++ b/mesh/relayer/watch.go
@@ -15,8 +15,9 @@
 
 // watch is the watch of the head in the store.
 type watch struct {
-	id        string // of the watch that waits, or empty
-	reading   bool   // a read of the head is under way
+	id        string    // of the watch that waits, or empty
+	reading   bool      // a read of the head is under way
+	readAt    time.Time // when the head was last read
 	retry     backoff
 	confirmAt time.Time // when the relay started, or last heard its gateway
 }
@@ -66,6 +67,7 @@
 		return
 	}
 	sent := r.now
+	r.watch.readAt = sent
 	// A list also gives a revision to watch from while there is no head yet.
 	r.watch.reading = r.request(effect.List, object.New(head.Plural, "", "", nil), true, func(e event.Event) {
 		r.watch.reading = false
@@ -91,7 +93,7 @@
 		}
 	}
 	r.supply.heard = sent
-	r.knowFloor(r.supply.head.Version())
+	r.knowFloor(r.supply.below(r.supply.head.Version()))
 	r.answerFloors()
 }
 
