registrar: separate epochs of the two leases, keep killed nodes suspect

Cause: rapid found that two relays of a data centre could send different sets under the same epoch and sequence, as the epochs of the two leases count separately; the golden traces showed that a killed node went back to ready for 1.6 s after the other relay's older sign of life, and on each change of owner. Ruled out: random sequences (a collision stays possible); reading the other lease (a race remains). Conclusion: each lease index has its own remainder of epochs; a sign of life counts only if later than the loss of the link.

--- /dev/null
+++ b/mesh/notice/notice_test.go
@@ -0,0 +1,73 @@
+package notice_test
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/encoder"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/group"
+	"wisteriaspoke.example/mesh/message"
+	"wisteriaspoke.example/mesh/notice"
+)
+
+func samples() []message.Message {
+	e := endpoint.New(endpoint.Fields{
+		Address: "10.0.0.1:7000", Service: "gallery", Version: "2", DataCentre: "wet-a", Region: "wet", Slots: 9,
+		State: endpoint.Ready, Incarnation: 1767225600000, Joined: time.UnixMilli(1767225600123),
+	})
+	g := group.New("wet-a", "gallery", 7, 3, []endpoint.Endpoint{e})
+	d := notice.NewDeparture("10.0.0.1:7000", "wet-a", "gallery", 1767225600000)
+	return []message.Message{
+		message.New(notice.Announcing, notice.NewAnnouncement(e, 2)),
+		message.New(notice.Receiving, notice.NewReceipt(1767225600000, 2)),
+		message.New(notice.Beating, notice.NewBeat(1767225600000, 2, 1, 0xfedcba9876543210)),
+		message.New(notice.Querying, notice.NewQuery(true, false)),
+		message.New(notice.Subscribing, notice.NewInterest(1, false, true, []string{"booking", "gallery"})),
+		message.New(notice.Digesting, notice.NewDigest(map[string]uint64{"wet-a": 1, "wet-b": 0xfedcba9876543210})),
+		message.New(notice.Pulling, notice.NewPull([]string{"wet-a"}, []notice.Mark{notice.NewMark(g)})),
+		message.New(notice.Spreading, notice.NewSets([]group.Group{g}, []notice.Departure{d}, true)),
+		message.New(notice.Probing, notice.NewProbe("10.0.0.1:7000")),
+		message.New(notice.Echoing, notice.NewEcho("10.0.0.1:7000", 120)),
+	}
+}
+
+// Guards against an encoding that changes without notice, which nodes of the release before could not read.
+func TestEncoding(t *testing.T) {
+	var out strings.Builder
+	for _, m := range samples() {
+		data, err := encoder.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "%s %d %s\n", m.Kind(), len(data), hex.EncodeToString(data))
+	}
+	goldie.New(t).Assert(t, "messages", []byte(out.String()))
+}
+
+// Guards against a field that one direction of the encoding forgets.
+func TestRoundTrip(t *testing.T) {
+	for _, m := range samples() {
+		data, err := encoder.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := encoder.Decode(data)
+		if err != nil {
+			t.Fatalf("%s: %v", m.Kind(), err)
+		}
+		again, err := encoder.Encode(back)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(data, again); diff != "" {
+			t.Errorf("%s changes on the way (-sent +received):\n%s", m.Kind(), diff)
+		}
+	}
+}
--- /dev/null
+++ b/mesh/registrar/export_test.go
@@ -0,0 +1,9 @@
+package registrar
+
+import "wisteriaspoke.example/mesh/endpoint"
+
+// NewUnordered returns a registrar without the check that an announcement is older than what is known.
+func NewUnordered(r *Registrar) *Registrar {
+	r.members.outdated = func(*member, endpoint.Endpoint, uint64) bool { return false }
+	return r
+}
--- a/mesh/registrar/members.go
+++ b/mesh/registrar/members.go
@@ -27,6 +27,7 @@
 	number   uint64
 	heard    time.Time
 	unlinked bool
+	closed   time.Time // when the last connection was lost
 	asked    time.Time
 	probed   time.Time // zero if no probe waits for an answer
 }
@@ -36,11 +37,15 @@
 	byAddress map[string]*member
 	byService map[string]map[string]*member
 	leaving   map[string]time.Time // departures that the sets may not show yet, with the time of the announcement
+
+	// outdated reports whether an announcement is older than what is known of the address; tests replace it.
+	outdated func(m *member, e endpoint.Endpoint, number uint64) bool
 }
 
 func newMembers() *members {
 	return &members{
 		byAddress: map[string]*member{}, byService: map[string]map[string]*member{}, leaving: map[string]time.Time{},
+		outdated: outdated,
 	}
 }
 
@@ -124,7 +129,7 @@
 	e := a.Endpoint()
 	r.send(peer, notice.Receiving, notice.NewReceipt(e.Incarnation(), a.Number()))
 	old := r.members.byAddress[e.Address()]
-	if old != nil && outdated(old, e, a.Number()) {
+	if old != nil && r.members.outdated(old, e, a.Number()) {
 		return
 	}
 	if old != nil && old.endpoint.Incarnation() == e.Incarnation() && old.number == a.Number() {
@@ -168,6 +173,7 @@
 		return
 	}
 	m.unlinked = true
+	m.closed = now
 	r.decideService(now, m.endpoint.Service())
 }
 
@@ -228,9 +234,15 @@
 		return
 	}
 	heard := now.Add(-time.Duration(e.Age()) * time.Millisecond)
-	if heard.After(m.heard) {
-		m.listen(heard)
+	if !heard.After(m.heard) {
+		return
+	}
+	if m.unlinked && !heard.After(m.closed) {
+		// The other relay heard the node before the connection was lost, which does not prove that it lives.
+		m.heard = heard
+		return
 	}
+	m.listen(heard)
 }
 
 // ask sends the questions about silent nodes that are due.
--- /dev/null
+++ b/mesh/registrar/model_test.go
@@ -0,0 +1,197 @@
+package registrar_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wisteriaspoke.example/mesh/controller"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/message"
+	"wisteriaspoke.example/mesh/notice"
+	"wisteriaspoke.example/mesh/registrar"
+	"wisteriaspoke.example/mesh/registrar/scenario"
+)
+
+// model is the oracle: what should be in the sets once all is quiet.
+type model struct {
+	fleet   *scenario.Fleet
+	dead    map[string]bool
+	leaving map[string]bool
+	frozen  map[string]bool
+	cut     bool
+	late    []func() // announcements still on their way
+}
+
+func newModel(seed uint64, shape scenario.Shape, build func(machine.Config) *controller.Controller) *model {
+	m := &model{
+		fleet: scenario.New(seed, shape, build), dead: map[string]bool{}, leaving: map[string]bool{}, frozen: map[string]bool{},
+	}
+	m.fleet.Sim().Cut = func(from, to string) bool { return m.cut && (from == "r1") != (to == "r1") }
+	m.fleet.Sim().Run(settle)
+	return m
+}
+
+// kill ends a node and keeps its last announcement, which may still be on its way.
+func (m *model) kill(n string) {
+	if m.dead[n] {
+		return
+	}
+	if e, known := m.fleet.Endpoint(n, n); known {
+		late := event.NewReceived(n, message.New(notice.Announcing, notice.NewAnnouncement(e, 2)))
+		dc := m.fleet.Sim().Config(n).DataCentre
+		m.late = append(m.late, func() {
+			for i := range 2 {
+				if h := m.fleet.Holder(dc, i); h != "" {
+					m.fleet.Sim().Inject(h, late)
+				}
+			}
+		})
+	}
+	m.fleet.Kill(n)
+	m.dead[n] = true
+	delete(m.frozen, n)
+	delete(m.leaving, n)
+}
+
+func (m *model) restart(n string) {
+	if m.dead[n] {
+		m.fleet.Restart(n)
+		delete(m.dead, n)
+	}
+}
+
+func (m *model) leave(n string) {
+	if !m.dead[n] {
+		m.fleet.Leave(n)
+		m.leaving[n] = true
+	}
+}
+
+func (m *model) freeze(n string) {
+	if !m.dead[n] && !m.frozen[n] {
+		m.fleet.Freeze(n)
+		m.frozen[n] = true
+	}
+}
+
+func (m *model) thaw(n string) {
+	if m.frozen[n] {
+		m.fleet.Thaw(n)
+		delete(m.frozen, n)
+	}
+}
+
+// arrive delivers the announcements that are still on their way.
+func (m *model) arrive() {
+	for _, f := range m.late {
+		f()
+	}
+	m.late = nil
+}
+
+// settle ends all faults but the deaths, lets the fleet come to rest and returns what is wrong.
+func (m *model) settle() []string {
+	m.cut = false
+	m.fleet.Sim().Store().SetOut(false)
+	for _, n := range slices.Sorted(maps.Keys(m.frozen)) {
+		m.thaw(n)
+	}
+	for _, n := range slices.Sorted(maps.Keys(m.dead)) {
+		m.restart(n)
+	}
+	m.fleet.Sim().Run(15 * time.Second)
+	m.arrive()
+	m.fleet.Sim().Run(10 * time.Second)
+	wrong := slices.Clone(m.fleet.Faults())
+	want := map[string]uint64{}
+	for _, n := range m.fleet.Sim().Nodes() {
+		if !m.leaving[n] {
+			want[n] = m.fleet.Sim().Config(n).Incarnation
+		}
+	}
+	for _, n := range m.fleet.Sim().Nodes() {
+		wrong = append(wrong, difference(n, m.fleet.Ready(n), want)...)
+	}
+	return wrong
+}
+
+// difference returns in words how the ready endpoints that a node sees differ from the right ones.
+func difference(node string, got, want map[string]uint64) []string {
+	var words []string
+	for _, a := range slices.Sorted(maps.Keys(want)) {
+		if got[a] != want[a] {
+			words = append(words, fmt.Sprintf("%s sees %s in incarnation %d, want %d", node, a, got[a], want[a]))
+		}
+	}
+	for _, a := range slices.Sorted(maps.Keys(got)) {
+		if _, ok := want[a]; !ok {
+			words = append(words, fmt.Sprintf("%s sees %s, which is not ready", node, a))
+		}
+	}
+	return words
+}
+
+// mixed is small enough for many runs and has every role.
+var mixed = scenario.Shape{Regions: 2, Nodes: 20, Services: 1}
+
+// Guards against mixes of failures that no single test has.
+func TestRandomMixes(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"), mixed, nil)
+		nodes := m.fleet.Sim().Nodes()
+		node := rapid.SampledFrom(nodes)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"kill", "restart", "leave", "freeze", "thaw", "cut", "store", "late"}).Draw(t, "fault") {
+			case "kill":
+				m.kill(node.Draw(t, "node"))
+			case "restart":
+				m.restart(node.Draw(t, "node"))
+			case "leave":
+				m.leave(node.Draw(t, "node"))
+			case "freeze":
+				m.freeze(node.Draw(t, "node"))
+			case "thaw":
+				m.thaw(node.Draw(t, "node"))
+			case "cut":
+				m.cut = !m.cut
+			case "store":
+				m.fleet.Sim().Store().SetOut(!m.fleet.Sim().Store().Out)
+			case "late":
+				m.arrive()
+			}
+			m.fleet.Sim().Run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "wait")) * time.Millisecond)
+		}
+		for _, w := range m.settle() {
+			t.Error(w)
+		}
+	})
+}
+
+// Guards against an oracle that cannot fail: without the check of incarnations it has to.
+func TestOracleSeesMissingIncarnationCheck(t *testing.T) {
+	t.Parallel()
+	run := func(build func(machine.Config) *controller.Controller) []string {
+		m := newModel(7, mixed, build)
+		victim := ordinary(m.fleet, "r0-b")
+		m.kill(victim)
+		m.fleet.Sim().Run(time.Second)
+		m.restart(victim)
+		return m.settle()
+	}
+	if wrong := run(nil); len(wrong) > 0 {
+		t.Errorf("with the check: %v", wrong)
+	}
+	wrong := run(func(c machine.Config) *controller.Controller {
+		return &controller.Controller{Machines: []machine.Machine{registrar.NewUnordered(registrar.New(c))}}
+	})
+	if len(wrong) == 0 {
+		t.Error("the oracle found nothing wrong without the check")
+	}
+}
--- a/mesh/registrar/owner.go
+++ b/mesh/registrar/owner.go
@@ -20,10 +20,14 @@
 // would remove one third after the other.
 const dropWindow = time.Minute
 
+// seats is the number of relay leases of a data centre.
+const seats = 2
+
 // owner is the state of the relay that decides on its data centre's sets.
 type owner struct {
 	lease     uint64 // epoch of the lease
-	epoch     uint64 // epoch of the sets: that of the lease, or higher if a set of that epoch is known already
+	seat      uint64 // index of the lease
+	epoch     uint64 // epoch of the sets, which follows from those of the lease and of the sets known
 	sequence  uint64
 	begun     bool // sets of the own epoch are out
 	contested bool // a newer set of the own data centre came from another node
@@ -35,14 +39,17 @@
 
 // assume takes or gives up the ownership that the roster says.
 func (r *Registrar) assume(old roster.Roster) {
-	if !r.roster.Owner() {
+	if !r.roster.Owner() || r.roster.Seat() < 0 {
 		r.owner = nil
 		return
 	}
-	if r.owner != nil && old.Epoch() == r.roster.Epoch() {
+	if r.owner != nil && old.Epoch() == r.roster.Epoch() && old.Seat() == r.roster.Seat() {
 		return
 	}
-	r.owner = &owner{lease: r.roster.Epoch(), changed: map[string]group.Group{}, dropped: map[string][]time.Time{}}
+	r.owner = &owner{
+		lease: r.roster.Epoch(), seat: uint64(r.roster.Seat()),
+		changed: map[string]group.Group{}, dropped: map[string][]time.Time{},
+	}
 }
 
 // deciding reports whether this node may change its data centre's sets now.
@@ -58,8 +65,8 @@
 	if !r.owner.begun || r.owner.contested {
 		r.begin(now)
 	}
-	for _, m := range r.members.byAddress {
-		r.ask(now, m)
+	for _, a := range slices.Sorted(maps.Keys(r.members.byAddress)) {
+		r.ask(now, r.members.byAddress[a])
 	}
 	for _, s := range slices.Sorted(maps.Keys(r.members.byService)) {
 		r.rebuild(now, s)
@@ -80,10 +87,7 @@
 // heard, and all sets go out in the new epoch, so that late sets of the owner before lose.
 func (r *Registrar) begin(now time.Time) {
 	o := r.owner
-	o.epoch = max(o.epoch, o.lease)
-	if highest := r.catalogue.highest(r.config.DataCentre); highest >= o.epoch {
-		o.epoch = highest + 1
-	}
+	o.epoch = epochAfter(r.catalogue.highest(r.config.DataCentre), max(o.epoch, seats*o.lease+o.seat), o.seat)
 	o.begun = true
 	o.contested = false
 	o.urgent = true
@@ -98,19 +102,29 @@
 	}
 }
 
+// epochAfter returns the lowest epoch of a lease index that is at least the wanted one and above the highest known one.
+// The epochs of the two leases count separately. Without an own remainder for each, a relay that takes the ownership
+// while the other still has it could send another content under the same epoch and sequence.
+func epochAfter(highest, wanted, seat uint64) uint64 {
+	epoch := max(wanted, highest+1)
+	return epoch + (seat+seats-epoch%seats)%seats
+}
+
 // inherit makes a member of an endpoint that the owner before had in a set.
 func (r *Registrar) inherit(now time.Time, e endpoint.Endpoint) {
 	m := r.members.byAddress[e.Address()]
 	if m != nil && m.endpoint.Incarnation() >= e.Incarnation() {
 		return
 	}
+	heard := now
 	if e.State() == endpoint.Suspect {
 		e = e.WithState(endpoint.Ready)
+		heard = now.Add(-suspecter.SuspectAfter)
 	}
 	if r.catalogue.left(e.Address(), e.Incarnation()) {
 		e = e.WithState(endpoint.Leaving)
 	}
-	r.members.put(&member{endpoint: e, heard: now})
+	r.members.put(&member{endpoint: e, heard: heard})
 }
 
 // rebuild decides on one service and keeps the set for sending if it changed.
--- a/mesh/registrar/scenario/fleet.go
+++ b/mesh/registrar/scenario/fleet.go
@@ -119,7 +119,7 @@
 
 // begin gives a started node what its relayer and its data path would.
 func (f *Fleet) begin(address string) {
-	f.started(address, f.sim.Config(address).Incarnation)
+	f.started(address)
 	f.sim.After(time.Millisecond, func() {
 		f.sim.Inject(address, event.NewLocal(event.Config, f.config))
 		f.sim.Inject(address, event.NewLocal(event.Roster, f.rosters[address]))
--- a/mesh/registrar/scenario/observer.go
+++ b/mesh/registrar/scenario/observer.go
@@ -23,21 +23,27 @@
 type Observer struct {
 	views  map[string]map[string]group.Group // by node, then by data centre and service
 	gone   map[seen]bool                     // departures that a node has seen
+	lives  map[[2]string]uint64              // latest incarnation by node and address
 	faults []string
 }
 
 func newObserver() *Observer {
-	return &Observer{views: map[string]map[string]group.Group{}, gone: map[seen]bool{}}
+	return &Observer{views: map[string]map[string]group.Group{}, gone: map[seen]bool{}, lives: map[[2]string]uint64{}}
 }
 
 // started forgets what the life of a node before had seen.
-func (o *Observer) started(address string, _ uint64) {
+func (o *Observer) started(address string) {
 	o.views[address] = map[string]group.Group{}
 	for s := range o.gone {
 		if s.node == address {
 			delete(o.gone, s)
 		}
 	}
+	for l := range o.lives {
+		if l[0] == address {
+			delete(o.lives, l)
+		}
+	}
 }
 
 func (o *Observer) published(now time.Time, node string, value any) {
@@ -52,6 +58,11 @@
 	}
 	o.views[node][key] = g
 	for _, e := range g.Endpoints() {
+		l := [2]string{node, e.Address()}
+		if latest := o.lives[l]; e.Incarnation() < latest {
+			o.fault(now, node, "endpoint %s went back from incarnation %d to %d", e.Address(), latest, e.Incarnation())
+		}
+		o.lives[l] = e.Incarnation()
 		s := seen{node: node, life: life{address: e.Address(), incarnation: e.Incarnation()}}
 		switch {
 		case e.State() == endpoint.Leaving:
@@ -66,7 +77,7 @@
 	o.faults = append(o.faults, fmt.Sprintf("%s %s: ", now.Format("15:04:05.000"), node)+fmt.Sprintf(format, values...))
 }
 
-// Faults returns what must not have happened: sets that went back and departed endpoints that returned.
+// Faults returns what must not have happened: sets and incarnations that went back, departed endpoints that returned.
 func (o *Observer) Faults() []string { return o.faults }
 
 // Views returns the number of sets that a node holds.
--- a/mesh/registrar/takeover_test.go
+++ b/mesh/registrar/takeover_test.go
@@ -190,3 +190,19 @@
 		}
 	}
 }
+
+// Guards against two owners that send different sets under the same epoch and sequence: the frozen relay thaws just
+// as its lease passes on.
+func TestPauseAsLongAsLease(t *testing.T) {
+	t.Parallel()
+	for _, seed := range append(seeds, 0x199) {
+		for _, pause := range []time.Duration{2900, 3000, 3050, 3100, 3200, 3401} {
+			m := newModel(seed, mixed, nil)
+			m.freeze(m.fleet.Holder("r0-b", 0))
+			m.fleet.Sim().Run(pause * time.Millisecond)
+			for _, w := range m.settle() {
+				t.Errorf("seed %d, pause %d ms: %s", seed, pause, w)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/mesh/registrar/trace_test.go
@@ -0,0 +1,93 @@
+package registrar_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/group"
+	"wisteriaspoke.example/mesh/registrar/scenario"
+)
+
+// traced is the fleet of the traces: one service, two data centres of one region, four nodes in each.
+var traced = scenario.Shape{Regions: 1, Nodes: 8, Services: 1}
+
+// watcher is the node whose sets are traced, an ordinary node of r0-b.
+const watcher = "10.1.0.7:7000"
+
+// perform runs one line of a script on the fleet.
+func perform(t *testing.T, f *scenario.Fleet, line string) {
+	t.Helper()
+	word, value, _ := strings.Cut(line, " ")
+	switch word {
+	case "run":
+		d, err := time.ParseDuration(value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Sim().Run(d)
+	case "leave":
+		f.Leave(value)
+	case "kill":
+		f.Kill(value)
+	case "restart":
+		f.Restart(value)
+	case "freeze":
+		f.Freeze(value)
+	case "thaw":
+		f.Thaw(value)
+	case "store":
+		f.Sim().Store().SetOut(value == "out")
+	default:
+		t.Fatalf("unknown word %q", word)
+	}
+}
+
+// traceLine writes a set as one line, with the last number of each address.
+func traceLine(at time.Duration, g group.Group) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%8.3f %s/%s (%d, %d)", at.Seconds(), g.DataCentre(), g.Service(), g.Epoch(), g.Sequence())
+	for _, e := range g.Endpoints() {
+		host := strings.TrimSuffix(e.Address(), ":7000")
+		fmt.Fprintf(&b, " %s=%s", host[strings.LastIndex(host, ".")+1:], e.State())
+	}
+	return b.String() + "\n"
+}
+
+// Guards against decisions that change without notice.
+func TestTraces(t *testing.T) {
+	t.Parallel()
+	scripts, err := filepath.Glob("testdata/*.script")
+	if err != nil || len(scripts) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	for _, path := range scripts {
+		name := strings.TrimSuffix(filepath.Base(path), ".script")
+		t.Run(name, func(t *testing.T) {
+			script, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var trace strings.Builder
+			f := scenario.New(1, traced, nil)
+			start := f.Sim().Now()
+			published := f.Sim().Published
+			f.Sim().Published = func(now time.Time, node string, value any) {
+				published(now, node, value)
+				if g, ok := value.(group.Group); ok && node == watcher && g.DataCentre() == "r0-a" {
+					trace.WriteString(traceLine(now.Sub(start), g))
+				}
+			}
+			for _, line := range strings.Split(strings.TrimSpace(string(script)), "\n") {
+				fmt.Fprintf(&trace, "> %s\n", line)
+				perform(t, f, line)
+			}
+			goldie.New(t).Assert(t, name, []byte(trace.String()))
+		})
+	}
+}
