registrar: stand in for a lost gateway, learn of sets of a former owner

Ruled out: sending departures to all relays of all regions (the roster has only gateways); waiting for the lease. Conclusion: the present relay with the lowest address subscribes at the other gateways while a relay of its region is missing; owners compare digests of their own data centre too, and send nothing while a newer set is known.

--- a/mesh/registrar/departure_test.go
+++ b/mesh/registrar/departure_test.go
@@ -48,7 +48,18 @@
 			f.Freeze(f.Holder(dc, 0))
 		}},
 		{"second relay killed", func(f *scenario.Fleet, dc string) { f.Kill(f.Holder(dc, 1)) }},
-		{"first relay of another region frozen", func(f *scenario.Fleet, _ string) { f.Freeze(f.Holder("r2-b", 0)) }},
+		{"gateway of another region frozen", func(f *scenario.Fleet, _ string) { f.Freeze(f.Holder("r2-a", 0)) }},
+		{"gateway of another region killed", func(f *scenario.Fleet, _ string) { f.Kill(f.Holder("r2-a", 0)) }},
+		{"owner and a gateway of another region killed", func(f *scenario.Fleet, dc string) {
+			f.Kill(f.Holder("r2-a", 0))
+			f.Kill(f.Holder(dc, 0))
+		}},
+		{"two gateways killed, one of them the owner's", func(f *scenario.Fleet, dc string) {
+			f.Kill(f.Holder("r2-a", 0))
+			f.Kill(f.Holder("r0-a", 0))
+			f.Kill(f.Holder(dc, 0))
+		}},
+		{"first relay of another data centre frozen", func(f *scenario.Fleet, _ string) { f.Freeze(f.Holder("r2-b", 0)) }},
 		{"store out", func(f *scenario.Fleet, _ string) { f.Sim().Store().SetOut(true) }},
 	}
 	shapes := []scenario.Shape{today, {Regions: 3, Nodes: 60, Services: 5, Depends: 2}}
--- a/mesh/registrar/members.go
+++ b/mesh/registrar/members.go
@@ -166,6 +166,10 @@
 // unlinked notes the loss of the last connection with a peer.
 func (r *Registrar) unlinked(now time.Time, peer string) {
 	delete(r.clients, peer)
+	r.deputy.lose(peer)
+	if r.relay() {
+		r.standIn(now)
+	}
 	r.reader.mark(now, peer, true)
 	r.announcer.again(now, peer)
 	m := r.members.byAddress[peer]
--- a/mesh/registrar/owner.go
+++ b/mesh/registrar/owner.go
@@ -76,8 +76,8 @@
 
 // decideService looks at one service at once, after an event that concerns it.
 func (r *Registrar) decideService(now time.Time, service string) {
-	if !r.deciding(now) || !r.owner.begun {
-		return
+	if !r.deciding(now) || !r.owner.begun || r.owner.contested {
+		return // the next tick starts an epoch first
 	}
 	r.rebuild(now, service)
 	r.flush(now)
--- a/mesh/registrar/registrar.go
+++ b/mesh/registrar/registrar.go
@@ -47,6 +47,7 @@
 	owner     *owner
 	archive   *archive
 	bootstrap bootstrap
+	deputy    *deputy
 
 	last      time.Time // time of the latest step
 	woken     time.Time // latest requested step
@@ -60,7 +61,7 @@
 	return &Registrar{
 		config: c, roster: roster.New(roster.Fields{Seat: -1}),
 		catalogue: newCatalogue(), announcer: newAnnouncer(c), reader: newReader(c),
-		members: newMembers(), clients: map[string]*client{}, archive: newArchive(c),
+		members: newMembers(), clients: map[string]*client{}, archive: newArchive(c), deputy: newDeputy(),
 	}
 }
 
@@ -72,6 +73,7 @@
 	case event.Tick:
 		r.tick(now)
 	case event.Received:
+		r.deputy.listen(now, e.Peer())
 		r.receive(now, e.Peer(), e.Message())
 	case event.Linked:
 		r.reader.mark(now, e.Peer(), false)
@@ -95,6 +97,7 @@
 	if !r.last.IsZero() && now.Sub(r.last) > pauseLimit {
 		r.heldUntil = now.Add(pauseHold)
 		r.members.excuse(now)
+		r.deputy.excuse(now)
 	}
 	r.last = now
 }
@@ -107,6 +110,7 @@
 		return
 	}
 	r.learn(now)
+	r.standIn(now)
 	r.compare(now)
 	r.depart(now)
 	r.decide(now)
@@ -114,6 +118,7 @@
 	if r.owner == nil {
 		r.members.prune(now)
 	}
+	r.pruneClients(now)
 }
 
 func (r *Registrar) local(now time.Time, e event.Event) {
@@ -199,6 +204,7 @@
 		clear(r.reader.differences)
 		r.bootstrap.begin(now)
 	}
+	r.deputy.follow(now, r.peers())
 	r.assume(old)
 	r.learn(now)
 }
@@ -208,6 +214,7 @@
 	r.owner = nil
 	r.members = newMembers()
 	r.archive.resign()
+	r.deputy = newDeputy()
 	clear(r.clients)
 	clear(r.reader.differences)
 	r.catalogue.forget(r.reader.wants)
--- a/mesh/registrar/spread.go
+++ b/mesh/registrar/spread.go
@@ -18,6 +18,7 @@
 type client struct {
 	interest    *notice.Interest
 	incarnation uint64
+	heard       time.Time
 }
 
 // wants reports whether the client subscribes to the service.
@@ -28,20 +29,28 @@
 	return c.interest.All() || slices.Contains(c.interest.Services(), service)
 }
 
+// clientLimit is the silence after which a relay no longer sends changes to a node.
+const clientLimit = 10 * time.Second
+
+// pruneClients forgets nodes that were silent for long.
+func (r *Registrar) pruneClients(now time.Time) {
+	maps.DeleteFunc(r.clients, func(_ string, c *client) bool { return now.Sub(c.heard) > clientLimit })
+}
+
 // beaten takes a node's heartbeat and asks for what this relay lacks.
 func (r *Registrar) beaten(now time.Time, peer string, b *notice.Beat) {
 	if !r.relay() {
 		return
 	}
 	unknown := b.Number() > 0 && !r.members.hear(now, peer, b.Incarnation(), b.Number())
-	unsubscribed := r.compareClient(peer, b)
+	unsubscribed := r.compareClient(now, peer, b)
 	if unknown || unsubscribed {
 		r.send(peer, notice.Querying, notice.NewQuery(unknown, unsubscribed))
 	}
 }
 
 // compareClient answers a heartbeat whose sum differs, and reports whether the subscription is missing.
-func (r *Registrar) compareClient(peer string, b *notice.Beat) bool {
+func (r *Registrar) compareClient(now time.Time, peer string, b *notice.Beat) bool {
 	if b.Interest() == 0 {
 		delete(r.clients, peer)
 		return false
@@ -55,6 +64,7 @@
 		return true
 	}
 	c.incarnation = b.Incarnation()
+	c.heard = now
 	if r.catalogue.sum(c.interest) != b.Sum() {
 		r.digest(peer, c.interest)
 	}
@@ -84,7 +94,7 @@
 	if !r.relay() {
 		return
 	}
-	r.clients[peer] = &client{interest: i}
+	r.clients[peer] = &client{interest: i, heard: now}
 	r.members.alive(now, peer)
 	r.digest(peer, i)
 	if ds := r.departures(r.clients[peer].wants); len(ds) > 0 {
@@ -170,7 +180,7 @@
 	if !r.relay() {
 		return
 	}
-	if r.roster.Gateway() && !slices.Contains(r.peers(), peer) {
+	if (r.roster.Gateway() || r.deputy.acting) && !slices.Contains(r.peers(), peer) {
 		r.forward(r.peers(), gs, ds)
 	}
 	r.push(gs, ds)
--- a/mesh/registrar/subscribe.go
+++ b/mesh/registrar/subscribe.go
@@ -253,7 +253,8 @@
 	return time.Duration(r.Int64N(int64(beatPeriod / 10)))
 }
 
-// compare pulls the scopes whose sets have differed from a peer's for longer than changes take to travel.
+// compare pulls the scopes whose sets have differed from a peer's for longer than changes take to travel. An owner does
+// so for its own data centre as well: the relay that was owner for a moment may have sent a higher epoch to nodes only.
 func (r *Registrar) compare(now time.Time) {
 	scopes := map[string][]string{}
 	for scope, d := range r.reader.differences {
@@ -265,9 +266,6 @@
 			continue
 		}
 		delete(r.reader.differences, scope)
-		if r.owner != nil && scope == r.config.DataCentre && r.settled(now) {
-			continue
-		}
 		scopes[d.peer] = append(scopes[d.peer], scope)
 	}
 	for _, p := range slices.Sorted(maps.Keys(scopes)) {
