roller: send sums only to gateways and holder; trial: baseline and harm

Cause: each relay sent its sums to all relays of its region as well as to the gateways, twice a second. A relay now learns its region's gateway from the holder's announcements and sends to all relays only while it is unknown.

--- a/mesh/roller/collector.go
+++ b/mesh/roller/collector.go
@@ -16,15 +16,24 @@
 // holderSilence is how long the holder's last message is valid for passing counts to it.
 const holderSilence = 10 * time.Second
 
+// gatewaySilence is when the region's gateway counts as unknown: two announcements lost, and some delay.
+const gatewaySilence = 2500 * time.Millisecond
+
 // collector sums the counts of a data centre's nodes and passes them on to the holder and the gateways.
 type collector struct {
 	view    *view
 	sums    map[string]*dataCentreSum // by service
 	holders map[string]knownHolder    // by service
+	gateway sighting                  // the own region's, when it is another node
 	stream  uint64
 	next    time.Time
 }
 
+type sighting struct {
+	address string
+	heard   time.Time
+}
+
 type dataCentreSum struct {
 	report
 	senders map[string]*stream
@@ -84,14 +93,19 @@
 
 // learn remembers the holder and, at a gateway, tells the other relays of the region.
 func (c *collector) learn(now time.Time, peer string, m *holder) []effect.Effect {
+	near := slices.Contains(c.view.roster.Region(), peer)
+	if near && m.Gateway {
+		c.gateway = sighting{address: peer, heard: now}
+	}
 	if m.Epoch < c.holders[m.Service].epoch {
 		return nil
 	}
 	c.holders[m.Service] = knownHolder{address: m.Address, epoch: m.Epoch, heard: now}
-	if peer != m.Address || !c.view.roster.Gateway() || slices.Contains(c.view.roster.Region(), peer) {
+	if near || !c.view.roster.Gateway() {
 		return nil
 	}
-	return c.view.sendAll(c.view.roster.Region(), holderKind, m)
+	forwarded := &holder{Service: m.Service, Address: m.Address, Epoch: m.Epoch, Gateway: true}
+	return c.view.sendAll(c.view.roster.Region(), holderKind, forwarded)
 }
 
 func (c *collector) passOn(now time.Time) []effect.Effect {
@@ -116,9 +130,17 @@
 	return fs
 }
 
-// targets are the gateways, the region's relays (one of which may become the gateway), the holder and this node.
+// targets are this node, the gateways and the holder. While the own region's gateway is not known, all relays of the
+// region are, since one of them is the gateway or becomes it.
 func (c *collector) targets(now time.Time, service string) []string {
-	all := slices.Concat(c.view.roster.Region(), c.view.roster.Remote(), []string{c.view.node.Node})
+	all := slices.Concat(c.view.roster.Remote(), []string{c.view.node.Node})
+	switch {
+	case c.view.roster.Gateway():
+	case now.Sub(c.gateway.heard) < gatewaySilence:
+		all = append(all, c.gateway.address)
+	default:
+		all = append(all, c.view.roster.Region()...)
+	}
 	if h := c.holders[service]; h.address != "" && now.Sub(h.heard) < holderSilence {
 		all = append(all, h.address)
 	}
--- a/mesh/roller/counts.go
+++ b/mesh/roller/counts.go
@@ -33,6 +33,7 @@
 	Service string `cbor:"1,keyasint"`
 	Address string `cbor:"2,keyasint"`
 	Epoch   uint64 `cbor:"3,keyasint"`
+	Gateway bool   `cbor:"4,keyasint,omitempty"` // the sender is the gateway of its region
 }
 
 func init() {
--- a/mesh/roller/roller.go
+++ b/mesh/roller/roller.go
@@ -141,7 +141,9 @@
 	for _, service := range sortedKeys(r.jobs) {
 		j := r.jobs[service]
 		if j.active() && j.lease.valid(now) {
-			body := &holder{Service: service, Address: r.view.node.Node, Epoch: j.lease.epoch()}
+			body := &holder{
+				Service: service, Address: r.view.node.Node, Epoch: j.lease.epoch(), Gateway: r.view.roster.Gateway(),
+			}
 			fs = append(fs, r.view.sendAll(r.view.relays(), holderKind, body)...)
 		}
 	}
--- a/mesh/roller/trial/traffic.go
+++ b/mesh/roller/trial/traffic.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// tally counts calls and failures.
+type tally struct{ calls, failures int }
+
 // traffic makes calls from every node.
 type traffic struct {
 	trial   *Trial
@@ -59,10 +62,12 @@
 	latest  time.Time // latest call of the new version
 	calls   uint64
 	harmed  uint64
+	fresh   tally // calls of the new version, for the baseline
 	// shadow judges all calls as they are made, to tell when the evidence existed.
 	shadow  *judge.Judge
 	cells   map[[2]string]judge.Cell
 	evident time.Time
+	judged  int // share of the shadow judge's step
 }
 
 func newTraffic(t *Trial) *traffic {
@@ -154,8 +159,14 @@
 		m = f.trial.New
 	}
 	failed, took := u < m.Failure(c), m.Median(c)*z
-	f.calls++
+	if !f.trial.asked.IsZero() && !f.trial.oracle.finished {
+		f.calls++
+	}
 	if version == To {
+		f.fresh.calls++
+		if failed {
+			f.fresh.failures++
+		}
 		limit := p95 * old.Median(c)
 		bad := failed && u >= old.Failure(c)
 		late := took > limit && old.Median(c)*z <= limit
@@ -228,6 +239,10 @@
 
 // observe gives the calls of all nodes to the shadow judge without delay.
 func (f *traffic) observe(now time.Time) {
+	if s := reach(f.trial.oracle.share); s != f.judged {
+		f.judged = s
+		f.shadow.Step(s)
+	}
 	if f.first.IsZero() || !f.evident.IsZero() {
 		f.cells = map[[2]string]judge.Cell{}
 		return
--- a/mesh/roller/trial/trial.go
+++ b/mesh/roller/trial/trial.go
@@ -43,6 +43,8 @@
 	Disturb func(*Trial)
 	// Wrap replaces a node's rollout machine; nil is allowed.
 	Wrap func(machine.Config, machine.Machine) machine.Machine
+	// Fixed replaces the rollout machine by the baseline: steps by time and an error threshold of 5%.
+	Fixed bool
 	// Deaf makes data paths ignore verdicts, to show that the oracle finds it.
 	Deaf bool
 
@@ -72,6 +74,10 @@
 	t.every(step, t.fleet.update)
 	t.every(batch, t.traffic.make)
 	t.sim.After(askedAt, t.ask)
+	if t.Fixed {
+		f := &fixed{trial: t}
+		t.every(time.Second, f.step)
+	}
 	if t.Disturb != nil {
 		t.Disturb(t)
 	}
@@ -89,6 +95,9 @@
 }
 
 func (t *Trial) build(c machine.Config) *controller.Controller {
+	if t.Fixed {
+		return &controller.Controller{}
+	}
 	m := machine.Machine(roller.New(c))
 	if t.Wrap != nil {
 		m = t.Wrap(c, m)
