roller: a new holder counts dwell and settle time from the last change

Cause: a holder that took over counted from what it had first seen of the rollout. Found by a new rule of the oracle: 'done' must not come before the settle time has passed since the new version got all calls.

Two causes: a share that the earlier holder set without noting it in the rollout object (now counted from the claim), and a contender that kept the time of its first look (now that of the object as last seen).

Ruled out: restarting the settle time at each takeover; three takeovers would then miss a tight deadline.

--- /dev/null
+++ b/bench/rollouts/kinds.go
@@ -0,0 +1,98 @@
+package rollouts
+
+import (
+	"time"
+
+	"wisteriaspoke.example/mesh/roller/trial"
+)
+
+const (
+	nodesPerCentre = 3
+	centres        = 6
+	callRate       = 600 // calls a second of the service
+	settle         = 10 * time.Second
+	deadline       = 120 * time.Second
+	tightDeadline  = 60 * time.Second
+	oldFailures    = 0.002
+	oldMedian      = 10 // ms
+)
+
+// kind is one kind of version with the faults around it.
+type kind struct {
+	name string
+	good bool
+	runs int
+	set  func(*trial.Trial)
+}
+
+func newTrial(k kind, seed uint64, fixed bool) *trial.Trial {
+	t := &trial.Trial{
+		Seed: seed, Nodes: nodesPerCentre, Rate: callRate, Routes: map[string]float64{"read": 8, "confirm": 3, "upload": 1},
+		Old: trial.Steady(oldFailures, oldMedian), New: trial.Steady(oldFailures, oldMedian),
+		Deadline: deadline, Settle: settle, Fixed: fixed,
+	}
+	k.set(t)
+	return t
+}
+
+// failing returns a model that fails with the rate while the condition holds.
+func failing(rate float64, while func(trial.Call) bool) trial.Model {
+	m := trial.Steady(oldFailures, oldMedian)
+	m.Failure = func(c trial.Call) float64 {
+		if while(c) {
+			return rate
+		}
+		return oldFailures
+	}
+	return m
+}
+
+func storeOut(from, to time.Duration) func(*trial.Trial) {
+	return func(t *trial.Trial) {
+		t.At(from, func() { t.Simulator().Store().SetOut(true) })
+		t.At(to, func() { t.Simulator().Store().SetOut(false) })
+	}
+}
+
+var later = failing(0.2, func(c trial.Call) bool { return c.Age > 30*time.Second })
+
+// kinds are all kinds; the numbers of runs keep the whole measurement within its time.
+var kinds = []kind{
+	{name: "good.comfortable", good: true, runs: 16, set: func(*trial.Trial) {}},
+	{name: "good.tight", good: true, runs: 30, set: func(t *trial.Trial) { t.Deadline = tightDeadline }},
+	{name: "good.holderkilled", good: true, runs: 10, set: func(t *trial.Trial) {
+		t.Disturb = func(t *trial.Trial) { t.At(20*time.Second, func() { t.KillHolder() }) }
+	}},
+	{name: "good.storeout", good: true, runs: 10, set: func(t *trial.Trial) {
+		t.Disturb = storeOut(20*time.Second, 60*time.Second)
+	}},
+	{name: "good.sharedtrouble", good: true, runs: 10, set: func(t *trial.Trial) {
+		t.Old = failing(0.3, func(c trial.Call) bool { return c.At > 15*time.Second && c.At < 30*time.Second })
+		t.New = t.Old
+	}},
+	{name: "bad.atonce", runs: 40, set: func(t *trial.Trial) {
+		t.New = failing(0.2, func(trial.Call) bool { return true })
+	}},
+	{name: "bad.slight", runs: 12, set: func(t *trial.Trial) {
+		t.New = failing(0.03, func(trial.Call) bool { return true })
+	}},
+	{name: "bad.slow", runs: 40, set: func(t *trial.Trial) { t.New = trial.Steady(oldFailures, 3*oldMedian) }},
+	{name: "bad.later", runs: 24, set: func(t *trial.Trial) { t.New = later }},
+	{name: "bad.oneroute", runs: 24, set: func(t *trial.Trial) {
+		t.New = failing(0.3, func(c trial.Call) bool { return c.Route == "upload" })
+	}},
+	{name: "bad.load", runs: 24, set: func(t *trial.Trial) {
+		t.New = failing(0.2, func(c trial.Call) bool { return c.Permille >= 250 })
+	}},
+	{name: "bad.wholeshare", runs: 10, set: func(t *trial.Trial) {
+		t.New = failing(0.2, func(c trial.Call) bool { return c.Permille == 1000 })
+	}},
+	{name: "bad.storeout", runs: 16, set: func(t *trial.Trial) {
+		t.Disturb = storeOut(25*time.Second, 65*time.Second)
+		t.New = later
+	}},
+	{name: "bad.holderkilled", runs: 16, set: func(t *trial.Trial) {
+		t.Disturb = func(t *trial.Trial) { t.At(30*time.Second, func() { t.KillHolder() }) }
+		t.New = later
+	}},
+}
--- a/mesh/roller/change.go
+++ b/mesh/roller/change.go
@@ -136,6 +136,9 @@
 func (j *job) stands(now time.Time, s share.Share) []effect.Effect {
 	j.claimed = s.Epoch()
 	if j.change.claim {
+		if s.Permille() != j.rollout.Share() {
+			j.changed = now // the earlier holder set this share and did not note when
+		}
 		j.permille = s.Permille()
 		j.change = nil
 		return nil
--- a/mesh/roller/job.go
+++ b/mesh/roller/job.go
@@ -77,6 +77,9 @@
 	if s.rollout.ID() != j.rollout.ID() {
 		j.change = nil
 		j.claimed = 0
+		j.changed = time.Time{}
+	}
+	if s.rollout.Changed().After(j.changed) {
 		j.changed = s.rollout.Changed()
 	}
 	j.object, j.rollout = s.object, s.rollout
--- a/mesh/roller/roller_test.go
+++ b/mesh/roller/roller_test.go
@@ -168,12 +168,13 @@
 func TestHolderFails(t *testing.T) {
 	fails := func(at time.Duration) func(*trial.Trial) {
 		return func(t *trial.Trial) {
-			t.Disturb = func(t *trial.Trial) { t.At(at, func() { t.Kill(t.Holder()) }) }
+			t.Disturb = func(t *trial.Trial) { t.At(at, t.KillHolder) }
 		}
 	}
 	for _, s := range []scenario{
 		{name: "killed at the canary share", done: true, set: fails(8 * time.Second)},
 		{name: "killed while widening", done: true, set: fails(35 * time.Second)},
+		{name: "killed while settling", done: true, set: fails(74 * time.Second)},
 		{name: "killed with a bad version", set: func(t *trial.Trial) {
 			fails(2 * time.Second)(t)
 			t.New = failing(0.2, always)
@@ -194,6 +195,66 @@
 	}
 }
 
+// Guards against two holders, and against a rollout that stops, when gateways race again and again for the lease with
+// answers lost, and while operators write the head all the time.
+func TestHoldersRace(t *testing.T) {
+	for _, s := range []scenario{
+		{name: "racing with lost answers", done: true, set: func(t *trial.Trial) {
+			t.Deadline = 200 * time.Second
+			t.Disturb = func(t *trial.Trial) {
+				t.Simulator().Store().Lose = 0.5
+				for i := range 6 {
+					freezeHolder(t, time.Duration(3+12*i)*time.Second, 4*time.Second)
+				}
+			}
+		}},
+		{name: "racing for a bad version", set: func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) {
+				t.Simulator().Store().Lose = 0.5
+				for i := range 6 {
+					freezeHolder(t, time.Duration(1+4*i)*time.Second, 3500*time.Millisecond)
+				}
+			}
+			t.New = failing(0.2, always)
+		}},
+		{name: "presets all the time", done: true, set: func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) {
+				for i := range 300 {
+					t.At(time.Duration(i)*300*time.Millisecond, func() { t.Preset(fmt.Sprintf("p%d", i)) })
+				}
+			}
+		}},
+		{name: "region cut off", done: true, set: func(t *trial.Trial) {
+			t.Disturb = func(t *trial.Trial) {
+				cut := ""
+				t.Simulator().Cut = func(a, b string) bool { return a != b && (a == cut || b == cut) }
+				t.At(10*time.Second, func() { cut = "swb" })
+				t.At(30*time.Second, func() { cut = "mfr" })
+				t.At(50*time.Second, func() { cut = "" })
+			}
+		}},
+	} {
+		s.runAll(t, nil)
+	}
+}
+
+// Guards against store calls that grow with the number of nodes.
+func TestStoreCallsDoNotGrowWithNodes(t *testing.T) {
+	calls := func(nodes int) int64 {
+		tr := newTrial(1)
+		tr.Nodes, tr.Deadline = nodes, tight
+		if r := tr.Run(); !r.Done() {
+			t.Fatalf("%d nodes for each data centre: %s", nodes, r.Rollout().Reason())
+		}
+		return tr.Simulator().Store().Reads + tr.Simulator().Store().Writes
+	}
+	few, many := calls(3), calls(12)
+	t.Logf("%d calls with 18 nodes, %d with 72", few, many)
+	if many > few+few/10 {
+		t.Errorf("%d calls with 18 nodes, %d with 72", few, many)
+	}
+}
+
 // Guards against shares that grow while the store is out, and against verdicts that need the store.
 func TestStoreFails(t *testing.T) {
 	out := func(from, to time.Duration) func(*trial.Trial) {
@@ -214,7 +275,7 @@
 		{name: "out and holder killed while a version turns bad", set: func(t *trial.Trial) {
 			t.Disturb = func(t *trial.Trial) {
 				out(20*time.Second, 60*time.Second)(t)
-				t.At(25*time.Second, func() { t.Kill(t.Holder()) })
+				t.At(25*time.Second, func() { t.KillHolder() })
 			}
 			t.New = failing(0.2, func(c trial.Call) bool { return c.Age > 30*time.Second })
 		}},
--- a/mesh/roller/trial/fixed.go
+++ b/mesh/roller/trial/fixed.go
@@ -64,6 +64,7 @@
 }
 
 func (f *fixed) put(s share.Share) {
+	f.trial.oracle.share = s
 	for _, n := range f.trial.sim.Nodes() {
 		f.trial.traffic.shares[n] = s
 	}
--- a/mesh/roller/trial/fleet.go
+++ b/mesh/roller/trial/fleet.go
@@ -74,6 +74,13 @@
 // Kill ends a node.
 func (t *Trial) Kill(node string) { t.sim.Kill(node) }
 
+// KillHolder ends the node that holds the lease, if there is one.
+func (t *Trial) KillHolder() {
+	if h := t.Holder(); h != "" {
+		t.sim.Kill(h)
+	}
+}
+
 // Freeze pauses a node.
 func (t *Trial) Freeze(node string) {
 	t.fleet.frozen[node] = true
--- a/mesh/roller/trial/oracle.go
+++ b/mesh/roller/trial/oracle.go
@@ -24,7 +24,8 @@
 	headAt   string
 	objectAt string
 	share    share.Share
-	grown    int // highest share that stood in the head
+	whole    time.Time // when the new version got all calls
+	grown    int       // highest share that stood in the head
 	state    rollout.State
 	finished bool
 	ended    time.Time
@@ -65,6 +66,7 @@
 		return
 	}
 	o.share = s
+	o.checkSettle(old, s)
 	lease := o.trial.lease()
 	if s.Epoch() < old.Epoch() {
 		o.fail("the share of epoch %d was replaced by one of epoch %d", old.Epoch(), s.Epoch())
@@ -88,6 +90,17 @@
 	o.grown = max(o.grown, reach(s))
 }
 
+// checkSettle checks that the old version could take all calls back for the whole settle time.
+func (o *oracle) checkSettle(old, s share.Share) {
+	now := o.trial.sim.Now()
+	if reach(old) < share.Whole && reach(s) == share.Whole {
+		o.whole = now
+	}
+	if s.Stable() == To && old.Stable() != To && now.Sub(o.whole) < o.trial.Settle {
+		o.fail("the settle time was %s, not %s", now.Sub(o.whole), o.trial.Settle)
+	}
+}
+
 // reach returns the part of all calls that the new version gets by a share.
 func reach(s share.Share) int {
 	if s.Stable() == To {
--- a/mesh/roller/trial/report.go
+++ b/mesh/roller/trial/report.go
@@ -1,10 +1,8 @@
 package trial
 
 import (
-	"cmp"
 	"time"
 
-	"wisteriaspoke.example/mesh/outcome"
 	"wisteriaspoke.example/mesh/rollout"
 )
 
@@ -79,7 +77,3 @@
 
 // States returns the states that the rollout passed, with the time and the share.
 func (r Report) States() []string { return r.states }
-
-func compareKeys(a, b outcome.Key) int {
-	return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Region, b.Region))
-}
--- a/mesh/roller/trial/traffic.go
+++ b/mesh/roller/trial/traffic.go
@@ -56,7 +56,7 @@
 	weights []float64
 	shares  map[string]share.Share
 	blocked map[string]string // rollout by node
-	pending map[string]map[outcome.Key]outcome.Outcome
+	pending sums              // by node
 	phase   map[string]time.Time
 	first   time.Time // first call of the new version
 	latest  time.Time // latest call of the new version
@@ -65,7 +65,7 @@
 	fresh   tally // calls of the new version, for the baseline
 	// shadow judges all calls as they are made, to tell when the evidence existed.
 	shadow  *judge.Judge
-	cells   map[[2]string]judge.Cell
+	shadows sums // by region
 	evident time.Time
 	judged  int // share of the shadow judge's step
 }
@@ -73,8 +73,7 @@
 func newTraffic(t *Trial) *traffic {
 	f := &traffic{
 		trial: t, rand: t.rand(2), shares: map[string]share.Share{}, blocked: map[string]string{},
-		pending: map[string]map[outcome.Key]outcome.Outcome{}, phase: map[string]time.Time{},
-		shadow: judge.New(From, To), cells: map[[2]string]judge.Cell{},
+		pending: sums{}, phase: map[string]time.Time{}, shadow: judge.New(From, To), shadows: sums{},
 	}
 	for r := range t.Routes {
 		f.routes = append(f.routes, r)
@@ -177,33 +176,42 @@
 	f.record(node, version, c.Route, failed, took)
 }
 
-func (f *traffic) record(node, version, route string, failed bool, took float64) {
-	k := outcome.Key{Service: Service, Version: version, Route: route, Region: f.trial.sim.Config(node).Region}
-	failures := uint64(0)
+// sum counts the calls of one version on one route.
+type sum struct {
+	calls, failures uint64
+	latency         [outcome.Buckets]uint64
+}
+
+func (s *sum) add(failed bool, bucket int) {
+	s.calls++
 	if failed {
-		failures = 1
-	}
-	var latency [outcome.Buckets]uint64
-	latency[bucket(took)] = 1
-	o := outcome.New(k, 1, failures, 0, 0, latency)
-	byKey := f.pending[node]
-	if byKey == nil {
-		byKey = map[outcome.Key]outcome.Outcome{}
-		f.pending[node] = byKey
-	}
-	if sum, ok := byKey[k]; ok {
-		byKey[k] = sum.Plus(o)
-	} else {
-		byKey[k] = o
+		s.failures++
 	}
-	cell := f.cells[[2]string{route, k.Region}]
-	cell.Route, cell.Region, cell.Caller = route, k.Region, k.Region
-	if version == To {
-		cell.New = cell.New.Plus(o)
-	} else {
-		cell.Old = cell.Old.Plus(o)
+	s.latency[bucket]++
+}
+
+func (s *sum) outcome(k outcome.Key) outcome.Outcome {
+	return outcome.New(k, s.calls, s.failures, 0, 0, s.latency)
+}
+
+// sumKey is a place where calls are counted: a node, or a region for the shadow judge.
+type sumKey struct{ place, version, route string }
+
+type sums map[sumKey]*sum
+
+func (s sums) at(k sumKey) *sum {
+	found := s[k]
+	if found == nil {
+		found = &sum{}
+		s[k] = found
 	}
-	f.cells[[2]string{route, k.Region}] = cell
+	return found
+}
+
+func (f *traffic) record(node, version, route string, failed bool, took float64) {
+	b := bucket(took)
+	f.pending.at(sumKey{node, version, route}).add(failed, b)
+	f.shadows.at(sumKey{f.trial.sim.Config(node).Region, version, route}).add(failed, b)
 }
 
 func bucket(ms float64) int {
@@ -224,16 +232,17 @@
 		return
 	}
 	f.phase[node] = now.Add(reportPeriod)
-	var keys []outcome.Key
-	for k := range f.pending[node] {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, compareKeys)
+	region := f.trial.sim.Config(node).Region
 	var os []outcome.Outcome
-	for _, k := range keys {
-		os = append(os, f.pending[node][k])
+	for _, version := range []string{From, To} {
+		for _, route := range f.routes {
+			k := sumKey{node, version, route}
+			if s := f.pending[k]; s != nil {
+				os = append(os, s.outcome(outcome.Key{Service: Service, Version: version, Route: route, Region: region}))
+				delete(f.pending, k)
+			}
+		}
 	}
-	f.pending[node] = nil
 	f.trial.sim.Inject(node, event.NewLocal(event.Outcomes, os))
 }
 
@@ -244,18 +253,20 @@
 		f.shadow.Step(s)
 	}
 	if f.first.IsZero() || !f.evident.IsZero() {
-		f.cells = map[[2]string]judge.Cell{}
+		clear(f.shadows)
 		return
 	}
 	var cells []judge.Cell
-	for _, r := range f.routes {
+	for _, route := range f.routes {
 		for _, region := range regions {
-			if c, ok := f.cells[[2]string{r, region}]; ok {
-				cells = append(cells, c)
-			}
+			k := outcome.Key{Service: Service, Route: route, Region: region}
+			c := judge.Cell{Route: route, Region: region, Caller: region}
+			c.New = f.shadows.at(sumKey{region, To, route}).outcome(k)
+			c.Old = f.shadows.at(sumKey{region, From, route}).outcome(k)
+			cells = append(cells, c)
 		}
 	}
-	f.cells = map[[2]string]judge.Cell{}
+	clear(f.shadows)
 	f.shadow.Add(now, cells)
 	if f.shadow.Result().Finding() == judge.Bad {
 		f.evident = now
