--- /dev/null
+++ b/mesh/linker/call_test.go
@@ -0,0 +1,223 @@
+package linker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/fault"
+)
+
+func wantKind(t *testing.T, err error, k fault.Kind) {
+	t.Helper()
+	if fault.KindOf(err) != k {
+		t.Fatalf("got %q (%v), want %q", fault.KindOf(err), err, k)
+	}
+}
+
+// Guards against the delivery of an answer whose call no longer waits.
+func TestLateAnswer(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, c call.Call) answer.Answer {
+		close(arrived)
+		<-release
+		return echo(ctx, c)
+	}))
+	type result struct {
+		answer answer.Answer
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		got, err := a.Call(t.Context(), b.Address(), newCall("right"))
+		done <- result{got, err}
+	}()
+	<-arrived
+	k := a.peer(b.Address()).best()
+	before := lateAnswers.Count()
+	wrong := must(answer.New(answer.Fields{Status: 200, Body: []byte("wrong")}).MarshalCBOR())
+	if err := k.handle(t.Context(), frame{Type: typeAnswer, ID: k.ids.Load() + 1, Body: wrong}); err != nil {
+		t.Error(err)
+	}
+	if got := lateAnswers.Count() - before; got != 1 {
+		t.Errorf("%d answers were counted as late", got)
+	}
+	close(release)
+	if r := <-done; r.err != nil || string(r.answer.Body()) != "right" {
+		t.Errorf("got %q, %v", r.answer.Body(), r.err)
+	}
+}
+
+// Guards against a wrong claim that a call may have run when nothing listens.
+func TestRefusedDial(t *testing.T) {
+	a := newNode(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	for range 2 { // the second one meets the back-off
+		_, err = a.Call(t.Context(), l.Addr().String(), newCall(""))
+		wantKind(t, err, fault.NotRun)
+	}
+}
+
+// Guards against NotRun for a call that the peer had when it died.
+func TestPeerKilledInFlight(t *testing.T) {
+	arrived := make(chan struct{})
+	p := newProxy(t)
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, _ call.Call) answer.Answer {
+		close(arrived)
+		<-ctx.Done()
+		return answer.New(answer.Fields{Ran: answer.Maybe})
+	}))
+	p.target.Store(b.Address())
+	go func() {
+		<-arrived
+		p.cut()
+	}()
+	_, err := a.Call(t.Context(), p.address(), newCall(""))
+	wantKind(t, err, fault.MayHaveRun)
+}
+
+// Guards against handlers that outlive their caller, and against deadlines that do not travel.
+func TestCancelAndDeadline(t *testing.T) {
+	arrived := make(chan call.Call, 1)
+	cancelled := make(chan bool, 1)
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, c call.Call) answer.Answer {
+		_, bounded := ctx.Deadline()
+		arrived <- c
+		<-ctx.Done()
+		cancelled <- bounded
+		return answer.New(answer.Fields{Ran: answer.Maybe})
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := a.Call(ctx, b.Address(), newCall(""))
+	wantKind(t, err, fault.MayHaveRun)
+	if <-cancelled {
+		t.Error("a deadline appeared on the way")
+	}
+	limited, done := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer done()
+	got, err := a.Call(limited, b.Address(), newCall(""))
+	// The handler's deadline is rounded down, so its own answer may come before the caller's deadline.
+	if err == nil && got.Ran() != answer.Maybe || err != nil && fault.KindOf(err) != fault.MayHaveRun {
+		t.Errorf("got %v, %v", got.Fields(), err)
+	}
+	if c := <-arrived; c.Left() < 1 || c.Left() > 50 || !<-cancelled {
+		t.Errorf("left is %d ms", c.Left())
+	}
+}
+
+// Guards against bodies that the peer would close the link for.
+func TestLargeBodies(t *testing.T) {
+	large := strings.Repeat("x", callLimit)
+	a, b := newNode(t), newNode(t, serving(func(context.Context, call.Call) answer.Answer {
+		return answer.New(answer.Fields{Status: 200, Ran: answer.Yes, Body: []byte(large)})
+	}))
+	_, err := a.Call(t.Context(), b.Address(), newCall(large))
+	wantKind(t, err, fault.NotRun)
+	got, err := a.Call(t.Context(), b.Address(), newCall(""))
+	if err != nil || got.Ran() != answer.Maybe || got.Reason() != "large" {
+		t.Errorf("got status %d, ran %q, reason %q, %v", got.Status(), got.Ran(), got.Reason(), err)
+	}
+}
+
+// Guards against unbounded handlers; the refusal must say that the call did not run.
+func TestBusy(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	b := newNode(t, func(l *Linker, f *fake) {
+		l.LinkCalls = 1
+		f.serve = func(ctx context.Context, c call.Call) answer.Answer {
+			close(arrived)
+			<-release
+			return echo(ctx, c)
+		}
+	})
+	a := newNode(t)
+	first := make(chan error, 1)
+	go func() {
+		_, err := a.Call(t.Context(), b.Address(), newCall(""))
+		first <- err
+	}()
+	<-arrived
+	got, err := a.Call(t.Context(), b.Address(), newCall(""))
+	if err != nil || got.Ran() != answer.No || got.Reason() != "busy" {
+		t.Errorf("got %v, %v", got.Fields(), err)
+	}
+	close(release)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against an answer that reaches another call, under cancels, late answers and connection cuts.
+func TestNoCrossedAnswers(t *testing.T) {
+	p := newProxy(t)
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, c call.Call) answer.Answer {
+		if rand.IntN(4) == 0 {
+			<-ctx.Done() // answers after its caller has left
+		}
+		return echo(ctx, c)
+	}))
+	p.target.Store(b.Address())
+	var good atomic.Int64
+	var callers sync.WaitGroup
+	for i := range 32 {
+		callers.Go(func() {
+			for j := range 40 {
+				body := fmt.Sprintf("%d/%d %s", i, j, strings.Repeat("x", rand.IntN(5000)))
+				ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+				got, err := a.Call(ctx, p.address(), newCall(body))
+				cancel()
+				if err == nil && string(got.Body()) != body {
+					t.Errorf("call %d/%d got the answer of another", i, j)
+				}
+				if err == nil {
+					good.Add(1)
+				}
+				if k := fault.KindOf(err); err != nil && k != fault.NotRun && k != fault.MayHaveRun {
+					t.Errorf("error without a verdict: %v", err)
+				}
+				if i == 0 && j%10 == 9 {
+					p.cut()
+				}
+			}
+		})
+	}
+	callers.Wait()
+	if good.Load() == 0 {
+		t.Error("no call succeeded")
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	for _, size := range []int{100, 64 << 10} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			from, to := newNode(b), newNode(b)
+			c := newCall(strings.Repeat("x", size))
+			b.SetBytes(int64(2 * size))
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := from.Call(b.Context(), to.Address(), c); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mesh/linker/drain_test.go
@@ -0,0 +1,100 @@
+package linker
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/fault"
+)
+
+// Guards against calls that are lost, or falsely "may have run", when a node drains under load.
+func TestDrainLosesNoCall(t *testing.T) {
+	var runs atomic.Int64
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, c call.Call) answer.Answer {
+		runs.Add(1)
+		return echo(ctx, c)
+	}))
+	var answered atomic.Int64
+	var callers sync.WaitGroup
+	loaded := make(chan struct{}, 16)
+	for range 16 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				_, err := a.Call(t.Context(), b.Address(), newCall("x"))
+				if err != nil {
+					if fault.KindOf(err) != fault.NotRun {
+						t.Errorf("a drain ended a call with %v", err)
+					}
+					return
+				}
+				answered.Add(1)
+				if n == 20 {
+					loaded <- struct{}{}
+				}
+			}
+		})
+	}
+	for range 16 {
+		<-loaded
+	}
+	if err := b.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	callers.Wait()
+	if runs.Load() != answered.Load() {
+		t.Errorf("%d calls ran, %d were answered", runs.Load(), answered.Load())
+	}
+}
+
+// Guards against a call that is written after this node has said that none follows; the drain test rarely meets it.
+func TestNoCallAfterClosed(t *testing.T) {
+	a, b := newNode(t), newNode(t)
+	if _, err := a.Call(t.Context(), b.Address(), newCall("")); err != nil {
+		t.Fatal(err)
+	}
+	k := a.peer(b.Address()).best()
+	if err := k.handle(t.Context(), frame{Type: typeClosing}); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 { // calls queued before the writer has come to the reply may still be written
+		id := k.ids.Add(1)
+		p := &pending{done: make(chan answer.Answer, 1), refused: make(chan struct{})}
+		k.pending.Store(id, p)
+		k.queue <- outgoing{data: must(k.encodeCall(t.Context(), id, newCall(""))), call: p}
+		select {
+		case <-p.refused:
+			return
+		case <-p.done:
+		}
+	}
+	t.Error("calls are still written")
+}
+
+// Guards against own calls that a drain breaks off.
+func TestDrainWaitsForOwnCalls(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, c call.Call) answer.Answer {
+		close(arrived)
+		<-release
+		return echo(ctx, c)
+	}))
+	result := make(chan error, 1)
+	go func() {
+		_, err := a.Call(t.Context(), b.Address(), newCall(""))
+		result <- err
+	}()
+	<-arrived
+	drained := make(chan error, 1)
+	go func() { drained <- a.Drain(t.Context()) }()
+	close(release)
+	if err := errors.Join(<-result, <-drained); err != nil {
+		t.Error(err)
+	}
+	_, err := a.Call(t.Context(), b.Address(), newCall(""))
+	wantKind(t, err, fault.NotRun)
+}
