--- a/bench/main.go
+++ b/bench/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kong"
 
+	_ "wisteriaspoke.example/bench/calls"
 	"wisteriaspoke.example/bench/reporter"
 )
 
