--- a/mesh/linker/frame.go
+++ b/mesh/linker/frame.go
@@ -42,8 +42,15 @@
 
 var (
 	encMode = must(cbor.CoreDetEncOptions().EncMode())
-	// The nesting and element limits also cover bodies, which are checked for well-formedness with the frame.
-	decMode = must(cbor.DecOptions{MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17, MaxNestedLevels: 32}.DecMode())
+	// The limits also cover bodies, which are checked for well-formedness with the frame. Nodes write neither tags nor
+	// indefinite lengths; both passed the check in forms that could not be encoded again.
+	decMode = must(cbor.DecOptions{
+		MaxArrayElements: 1 << 17,
+		MaxMapPairs:      1 << 17,
+		MaxNestedLevels:  32,
+		TagsMd:           cbor.TagsForbidden,
+		IndefLength:      cbor.IndefLengthForbidden,
+	}.DecMode())
 )
 
 func must[T any](t T, err error) T {
