--- a/mesh/admitter/admitter.go
+++ b/mesh/admitter/admitter.go
@@ -148,7 +148,6 @@
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
-		NoDefaultDate:                true,
 		Logger:                       slog.NewLogLogger(a.log.Handler(), slog.LevelDebug),
 	}
 }
--- a/mesh/admitter/admitter_test.go
+++ b/mesh/admitter/admitter_test.go
@@ -249,12 +249,33 @@
 	if got.status != 200 || got.ran != "yes" || got.body != "POST /confirm?x=1 entry " || got.reason != "" {
 		t.Errorf("call: %+v", got)
 	}
+	r, err := http.NewRequest("HEAD", n.url+"/a", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "swim.example"
+	p, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Body.Close()
+	if p.StatusCode != 200 || p.ContentLength != int64(len("HEAD /a  ")) || p.Header.Get("Date") == "" {
+		t.Errorf("HEAD: %d, length %d, %v", p.StatusCode, p.ContentLength, p.Header)
+	}
 	n.halt(t)
 	w := n.wire
 	if len(w.demands) != 1 || w.demands[0] != "other.example" {
 		t.Errorf("demands are %v", w.demands)
 	}
-	if len(w.outcomes) != 1 || w.outcomes[0].Calls() != 1 || w.outcomes[0].Key() != (outcome.Key{Service: "meldung", Version: "v1", Route: "confirm", Region: "obb"}) {
+	confirm := outcome.Key{Service: "meldung", Version: "v1", Route: "confirm", Region: "obb"}
+	var confirmed, calls uint64
+	for _, o := range w.outcomes {
+		calls += o.Calls()
+		if o.Key() == confirm {
+			confirmed += o.Calls()
+		}
+	}
+	if confirmed != 1 || calls != 2 {
 		t.Errorf("outcomes are %v", w.outcomes)
 	}
 	if s := w.states[len(w.states)-1]; s != endpoint.Leaving {
@@ -292,6 +313,11 @@
 			t.Errorf("%s: %+v", c.name, got)
 		}
 	}
+	for _, path := range []string{"/public/../confirm", "/public/%2E./confirm", "/./confirm", "/public/.."} {
+		if got := send(t, n, "POST", path, ""); got.status != 400 || got.ran != "no" || got.reason != reasonBad {
+			t.Errorf("path %s: %+v", path, got)
+		}
+	}
 	n.admitter.bounds.calls.Store(maxCalls)
 	if got := send(t, n, "GET", "/", ""); got.status != 503 || got.ran != "no" || got.reason != reasonWaiting {
 		t.Errorf("waiting: %+v", got)
--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -36,9 +36,10 @@
 	reasonSlow        = "slow"        // the request did not come in time
 )
 
-// Reasons of an endpoint's refusals that concern its next calls too.
+// Reasons of an endpoint's refusals that are told apart here.
 const (
 	refusedFull      = "full"
+	refusedLate      = "late"
 	refusedDown      = "down"
 	refusedMisrouted = "misrouted"
 )
--- a/mesh/admitter/handle.go
+++ b/mesh/admitter/handle.go
@@ -129,7 +129,7 @@
 		ID: rand.Uint64(), Method: string(h.Method()), Host: string(h.Host()), Path: string(h.RequestURI()),
 		Key: string(h.Peek(headerKey)),
 	}
-	if !strings.HasPrefix(f.Path, "/") || f.Method == http.MethodConnect {
+	if !strings.HasPrefix(f.Path, "/") || dotted(f.Path) || f.Method == http.MethodConnect {
 		return refuse(http.StatusBadRequest, reasonBad)
 	}
 	if v := string(h.Peek(headerDeadline)); v != "" {
@@ -164,6 +164,22 @@
 	return f, nil
 }
 
+// dotted reports whether a path has a segment "." or "..". Routes match the path as it is, while an upstream may resolve
+// such segments and so run a call of another route.
+func dotted(path string) bool {
+	path, _, _ = strings.Cut(path, "?")
+	for s := range strings.SplitSeq(path, "/") {
+		if len(s) == 0 || len(s) > len("%2e%2e") {
+			continue
+		}
+		switch strings.ReplaceAll(strings.ToLower(s), "%2e", ".") {
+		case ".", "..":
+			return true
+		}
+	}
+	return false
+}
+
 // read returns the whole body, or one byte over the limit of a larger one.
 func read(q *fasthttp.Request) ([]byte, error) {
 	stream := q.BodyStream()
--- a/mesh/admitter/tally.go
+++ b/mesh/admitter/tally.go
@@ -26,8 +26,12 @@
 // crashed is the dispatcher's reason for a call that was in flight when its upstream died.
 const crashed = "crashed"
 
-// add counts one attempt on the route at the endpoint.
+// add counts one attempt on the route at the endpoint. Refusals for another reason than capacity, such as an endpoint
+// that is leaving, are neither calls nor shed.
 func (t *tally) add(m *snapshot.Member, route string, n answer.Answer, took time.Duration) {
+	if n.Ran() == answer.No && n.Reason() != refusedFull && n.Reason() != refusedLate {
+		return
+	}
 	e := m.Endpoint()
 	c := t.cells.get(outcome.Key{Service: e.Service(), Version: e.Version(), Route: route, Region: e.Region()}, newCell)
 	if n.Ran() == answer.No {
