--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -44,7 +44,7 @@
 	refusedMisrouted = "misrouted"
 )
 
-// How long an endpoint that refused is avoided while others have capacity.
+// How long an endpoint that refused is avoided if there are others; one that is leaving gets no call at all.
 const (
 	fullHold = 50 * time.Millisecond
 	downHold = time.Second
@@ -242,7 +242,7 @@
 		c.Hold(now.Add(fullHold))
 		return
 	case reasonLeaving:
-		c.Hold(now.Add(leavingHold))
+		c.Leave(now.Add(leavingHold))
 		return
 	case refusedDown, refusedMisrouted, reasonUnreachable:
 		c.Hold(now.Add(downHold))
--- a/mesh/admitter/explain.go
+++ b/mesh/admitter/explain.go
@@ -106,11 +106,13 @@
 		step := 0
 		switch {
 		case e.State() == endpoint.Suspect:
-			step, c.Why = 3, "suspect: only when no ready endpoint is left"
+			step, c.Why = 4, "suspect: only when no ready endpoint is left"
+		case k.Leaving(now):
+			step, c.Why = 5, "leaving: gets no calls"
 		case k.Ejected(now):
-			step, c.Why = 2, "ejected after failures in a row"
+			step, c.Why = 3, "ejected after failures in a row"
 		case k.Held(now):
-			step, c.Why = 1, "refused a call just now"
+			step, c.Why = 2, "refused a call just now"
 		case k.Outstanding() >= m.Slots():
 			step, c.Why = 1, "all slots are in use"
 		}
--- a/mesh/balancer/balancer.go
+++ b/mesh/balancer/balancer.go
@@ -22,7 +22,8 @@
 
 // rules say which endpoints an attempt may use; they are relaxed step by step until one is found.
 type rules struct {
-	free    bool // has free capacity and has not just refused a call
+	free    bool // has free capacity
+	willing bool // has not just refused a call
 	healthy bool // is not ejected
 }
 
@@ -45,7 +46,7 @@
 }
 
 func pick(v *snapshot.Version, random func(int) int, now time.Time, exclude []*snapshot.Member) *snapshot.Member {
-	for _, r := range [...]rules{{free: true, healthy: true}, {healthy: true}, {}} {
+	for _, r := range [...]rules{{free: true, willing: true, healthy: true}, {willing: true, healthy: true}, {healthy: true}, {}} {
 		for t := range snapshot.Tiers {
 			if m := better(v.Ready(t), r, random, now, exclude); m != nil {
 				return m
@@ -111,10 +112,11 @@
 
 func (r rules) allow(m *snapshot.Member, now time.Time) bool {
 	c := m.Counters()
-	if r.healthy && c.Ejected(now) {
+	switch {
+	case c.Leaving(now), r.healthy && c.Ejected(now), r.willing && c.Held(now):
 		return false
 	}
-	return !r.free || (!c.Held(now) && c.Outstanding() < capacity(m, now))
+	return !r.free || c.Outstanding() < capacity(m, now)
 }
 
 // capacity returns how many calls the endpoint takes at once: the limit that it reported, or else announced, scaled
--- a/mesh/balancer/balancer_test.go
+++ b/mesh/balancer/balancer_test.go
@@ -153,6 +153,8 @@
 	switch p.Do {
 	case "hold":
 		m.Counters().Hold(now.Add(time.Duration(p.N) * time.Millisecond))
+	case "leave":
+		m.Counters().Leave(now.Add(time.Duration(p.N) * time.Millisecond))
 	case "report":
 		m.Counters().Report(p.N, m.Slots(), now)
 	}
--- a/mesh/snapshot/counters.go
+++ b/mesh/snapshot/counters.go
@@ -15,6 +15,7 @@
 	ejections   atomic.Int32 // since the last success
 	ejected     atomic.Int64 // until, nanoseconds since 1970
 	held        atomic.Int64 // until, nanoseconds since 1970
+	left        atomic.Int64 // until, nanoseconds since 1970
 	reported    atomic.Int32 // calls at the endpoint, as it said
 	slots       atomic.Int32 // the endpoint's limit, as it said; 0 if unknown
 	reportedAt  atomic.Int64
@@ -75,6 +76,12 @@
 // Held reports whether the endpoint is held at the given time.
 func (c *Counters) Held(now time.Time) bool { return now.UnixNano() < c.held.Load() }
 
+// Leave keeps all calls from the endpoint until the given time, by which the membership says that it is leaving.
+func (c *Counters) Leave(until time.Time) { c.left.Store(until.UnixNano()) }
+
+// Leaving reports whether the endpoint has said that it is leaving.
+func (c *Counters) Leaving(now time.Time) bool { return now.UnixNano() < c.left.Load() }
+
 // Report keeps the load that the endpoint's answer gave; slots of zero means that it gave none.
 func (c *Counters) Report(outstanding, slots int, now time.Time) {
 	if slots == 0 {
