judge, roller: compare with the old version before blaming the new at 100%

An alarm at the whole share now narrows the share to 50% and waits at most 1.2 s for old calls. It clears the new version only if the old one has the trouble too; a version that merely recovers with less load is still bad. Sums and judgements come every 200 ms at the whole share, so that all fits in 3 s. Without the store, or without a holder, the alarm counts as a verdict at once or when the time is over.

Ruled out: a control group of 5% old calls during the settle time. It is not the whole share, and a version that fails 20% would need 4 s until a verdict.

--- a/bench/rollouts/kinds.go
+++ b/bench/rollouts/kinds.go
@@ -70,6 +70,11 @@
 		t.Old = failing(0.3, func(c trial.Call) bool { return c.At > 15*time.Second && c.At < 30*time.Second })
 		t.New = t.Old
 	}},
+	{name: "good.troublesettling", good: true, runs: 10, set: func(t *trial.Trial) {
+		t.Settle = 25 * time.Second
+		t.Old = failing(0.3, func(c trial.Call) bool { return c.At > 70*time.Second && c.At < 78*time.Second })
+		t.New = t.Old
+	}},
 	{name: "bad.atonce", runs: 40, set: func(t *trial.Trial) {
 		t.New = failing(0.2, func(trial.Call) bool { return true })
 	}},
@@ -87,6 +92,15 @@
 	{name: "bad.wholeshare", runs: 10, set: func(t *trial.Trial) {
 		t.New = failing(0.2, func(c trial.Call) bool { return c.Permille == 1000 })
 	}},
+	{name: "bad.settling", runs: 10, set: func(t *trial.Trial) {
+		t.Settle = 25 * time.Second
+		t.New = failing(0.2, func(c trial.Call) bool { return c.At > 72*time.Second })
+	}},
+	{name: "bad.settlingstoreout", runs: 10, set: func(t *trial.Trial) {
+		t.Settle = 25 * time.Second
+		t.Disturb = storeOut(70*time.Second, 100*time.Second)
+		t.New = failing(0.2, func(c trial.Call) bool { return c.At > 72*time.Second })
+	}},
 	{name: "bad.storeout", runs: 16, set: func(t *trial.Trial) {
 		t.Disturb = storeOut(25*time.Second, 65*time.Second)
 		t.New = later
--- a/mesh/judge/judge.go
+++ b/mesh/judge/judge.go
@@ -52,6 +52,8 @@
 	first     map[string]time.Time // first calls of the new version by region
 	last      tally                // calls in the latest window, for the share in force
 	bad       *Result
+	probe     *probe
+	patience  time.Duration
 }
 
 // pair holds the tests and counts of one route, or of all.
@@ -113,7 +115,14 @@
 		p.take(s, calm)
 	}
 	j.last = all.failures
-	j.convict()
+	if j.probe == nil {
+		j.convict(at, alone)
+		return
+	}
+	if !alone {
+		j.probe.add(all, sums)
+	}
+	j.decide(at)
 }
 
 // sum is the evidence of one window over several strata.
@@ -198,15 +207,30 @@
 
 func goodLimit() float64 { return math.Log(1 / falseGood) }
 
-func (j *Judge) convict() {
+// convict ends the judgement if a test has reached its limit. Against the old version's past alone it only starts a
+// probe, when there is time for one.
+func (j *Judge) convict(at time.Time, alone bool) {
+	p, found := j.accuse()
+	switch {
+	case !found:
+	case alone && j.patience > 0:
+		p.since = at
+		j.probe = &p
+	default:
+		j.condemn(p.route, p.sentence)
+	}
+}
+
+func (j *Judge) accuse() (probe, bool) {
 	limit := j.badLimit()
 	if route, p := j.worst(limit, func(p *pair) float64 { return p.failures.alarm }); p != nil {
-		j.condemn(route, j.describe("fails", p.failures.since, route))
-		return
+		return probe{route: route, sentence: j.describe("fails", p.failures.since, route)}, true
 	}
 	if route, p := j.worst(limit, func(p *pair) float64 { return p.slow.alarm }); p != nil {
-		j.condemn(route, j.describe("is slower than the old version's p95 on", p.slow.since, route))
+		sentence := j.describe("is slower than the old version's p95 on", p.slow.since, route)
+		return probe{route: route, slow: true, sentence: sentence}, true
 	}
+	return probe{}, false
 }
 
 // worst returns the route with the highest alarm at or above the limit; a single route is preferred to all together
@@ -267,6 +291,9 @@
 	if j.bad != nil {
 		return *j.bad
 	}
+	if p := j.probe; p != nil {
+		return Result{finding: Suspect, route: p.route, sentence: p.sentence, evidence: j.evidence()}
+	}
 	r := Result{finding: Good, calls: uint64(j.all.failures.calls), evidence: j.evidence()}
 	part := 0.0
 	if whole := j.last.newCalls + j.last.oldCalls; whole > 0 {
--- a/mesh/judge/result.go
+++ b/mesh/judge/result.go
@@ -8,7 +8,8 @@
 // The findings.
 const (
 	Undecided Finding = "undecided"
-	Good      Finding = "good" // good enough to widen
+	Good      Finding = "good"    // good enough to widen
+	Suspect   Finding = "suspect" // bad beside the old version's past; its present is not known at the whole share
 	Bad       Finding = "bad"
 )
 
--- a/mesh/judge/trace_test.go
+++ b/mesh/judge/trace_test.go
@@ -28,6 +28,7 @@
 //	cell <route> <region> new <calls> <failures> <slow> <crashes> old <calls> <failures> <slow> <crashes> [cold]
 //	run      gives the cells to the judge the stated number of times
 //	step <permille>
+//	wait <duration>
 //
 // TestTraces guards against findings that change for given evidence: too early, too late, on the wrong route, or with
 // another sentence.
@@ -94,6 +95,12 @@
 			tr.judge.Add(tr.now, tr.cells)
 			tr.print()
 		}
+	case "wait":
+		d, err := time.ParseDuration(rest)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr.judge.Wait(d)
 	case "step":
 		var permille int
 		scan(t, rest, "%d", &permille)
--- a/mesh/roller/assessor.go
+++ b/mesh/roller/assessor.go
@@ -16,17 +16,30 @@
 const (
 	// judgePeriod is how often the evidence is judged; see passOnPeriod.
 	judgePeriod = 500 * time.Millisecond
+	// wholePeriod replaces both periods at the whole share, where a probe must fit into the same 3 s.
+	wholePeriod = 200 * time.Millisecond
+	// holderPatience is how long the holder waits for the old version's calls when the new one fails at the whole share:
+	// about 0.5 s until a narrower share is in force, and 0.7 s of calls and reports.
+	holderPatience = 1200 * time.Millisecond
+	// gatewayPatience is how long another gateway leaves that decision to a holder that it hears from.
+	gatewayPatience = 2 * time.Second
 	// coldStart is how long an endpoint counts as fresh after it joined.
 	coldStart = 10 * time.Second
 	// rateWeight smooths the rate of calls over about 5 s, so that one late report does not change the plan.
 	rateWeight = 0.1
 )
 
+// holding is what the assessor needs to know of the holder.
+type holding interface {
+	// patience returns how long this node waits for a probe of the service.
+	patience(now time.Time, service string) time.Duration
+}
+
 // assessor judges the evidence of all rollouts under way, at each relay that gets it.
 type assessor struct {
-	view  *view
-	cases map[string]*assessment // by service
-	next  time.Time
+	view    *view
+	holding holding
+	cases   map[string]*assessment // by service
 }
 
 type assessment struct {
@@ -41,7 +54,9 @@
 
 type cellKey struct{ route, region, caller string }
 
-func newAssessor(v *view) *assessor { return &assessor{view: v, cases: map[string]*assessment{}} }
+func newAssessor(v *view, h holding) *assessor {
+	return &assessor{view: v, holding: h, cases: map[string]*assessment{}}
+}
 
 // step returns the verdicts that the evidence has just led to.
 func (a *assessor) step(now time.Time, e event.Event) []verdict.Verdict {
@@ -53,10 +68,7 @@
 			a.take(now, e.Peer(), m)
 		}
 	case event.Tick:
-		if !now.Before(a.next) {
-			a.next = now.Add(judgePeriod)
-			return a.assess(now)
-		}
+		return a.assess(now)
 	}
 	return nil
 }
@@ -118,6 +130,10 @@
 	var vs []verdict.Verdict
 	for _, service := range sortedKeys(a.cases) {
 		c := a.cases[service]
+		if now.Sub(c.opened) < periodAt(c.share, judgePeriod) {
+			continue
+		}
+		c.judge.Wait(a.holding.patience(now, service))
 		c.close(now, a.view)
 		r := c.judge.Result()
 		if r.Finding() == judge.Bad {
@@ -127,6 +143,14 @@
 	return vs
 }
 
+// periodAt returns the usual period, or the shorter one at the whole share.
+func periodAt(s share.Share, usual time.Duration) time.Duration {
+	if s.Permille() >= share.Whole {
+		return wholePeriod
+	}
+	return usual
+}
+
 // close judges the window and opens the next one.
 func (c *assessment) close(now time.Time, v *view) {
 	cells := make([]judge.Cell, 0, len(c.window))
--- a/mesh/roller/collector.go
+++ b/mesh/roller/collector.go
@@ -26,7 +26,6 @@
 	holders map[string]knownHolder    // by service
 	gateway sighting                  // the own region's, when it is another node
 	stream  uint64
-	next    time.Time
 }
 
 type sighting struct {
@@ -38,6 +37,7 @@
 	report
 	senders map[string]*stream
 	changed bool
+	next    time.Time
 }
 
 type knownHolder struct {
@@ -62,10 +62,7 @@
 			return c.learn(now, e.Peer(), m)
 		}
 	case event.Tick:
-		if !now.Before(c.next) {
-			c.next = now.Add(passOnPeriod)
-			return c.passOn(now)
-		}
+		return c.passOn(now)
 	}
 	return nil
 }
@@ -116,9 +113,11 @@
 			delete(c.sums, service)
 			continue
 		}
-		if !s.changed || !c.view.relay() {
+		if !s.changed || !c.view.relay() || now.Before(s.next) {
 			continue
 		}
+		current, _ := c.view.underWay(service)
+		s.next = now.Add(periodAt(current, passOnPeriod))
 		s.changed = false
 		s.sequence++
 		body := &counts{
--- a/mesh/roller/job.go
+++ b/mesh/roller/job.go
@@ -157,7 +157,7 @@
 		Finding: result.Finding(), Needed: result.Needed(), Rate: rate, Ready: j.view.ready(j.service, r.To()),
 	})
 	switch d.Action() {
-	case scheduler.Widen:
+	case scheduler.Widen, scheduler.Narrow:
 		return &change{state: stateAt(d.Share()), permille: d.Share(), reason: d.Reason(), next: d.Next()}
 	case scheduler.Finish:
 		return &change{state: rollout.Done, permille: share.Whole, reason: d.Reason()}
--- a/mesh/roller/roller.go
+++ b/mesh/roller/roller.go
@@ -41,10 +41,12 @@
 // New returns a Roller that knows nothing yet.
 func New(c machine.Config) *Roller {
 	v := newView(c)
-	return &Roller{
-		view: v, reporter: newReporter(v), collector: newCollector(v), assessor: newAssessor(v),
-		spreader: newSpreader(v), watcher: newWatcher(v), jobs: map[string]*job{}, demanded: map[string]time.Time{},
+	r := &Roller{
+		view: v, reporter: newReporter(v), collector: newCollector(v), spreader: newSpreader(v), watcher: newWatcher(v),
+		jobs: map[string]*job{}, demanded: map[string]time.Time{},
 	}
+	r.assessor = newAssessor(v, r)
+	return r
 }
 
 // Step implements machine.Machine.
@@ -150,6 +152,17 @@
 	return fs
 }
 
+// patience implements holding.
+func (r *Roller) patience(now time.Time, service string) time.Duration {
+	switch {
+	case r.holds(now, service):
+		return holderPatience
+	case now.Sub(r.collector.holders[service].heard) < holderLost:
+		return gatewayPatience
+	}
+	return 0
+}
+
 // result implements evidence.
 func (r *Roller) result(service, rollout string, permille int) (judge.Result, float64) {
 	c := r.assessor.cases[service]
--- a/mesh/roller/roller_test.go
+++ b/mesh/roller/roller_test.go
@@ -106,6 +106,12 @@
 			t.Old = failing(0.3, between(15*time.Second, 30*time.Second))
 			t.New = t.Old
 		}},
+		{name: "trouble on both sides while settling", done: true, set: func(t *trial.Trial) {
+			t.Deadline = 200 * time.Second
+			t.Old = failing(0.3, between(124*time.Second, 132*time.Second))
+			t.New = t.Old
+			t.Settle = 20 * time.Second
+		}},
 		{name: "both sides slow", done: true, set: func(t *trial.Trial) {
 			m := trial.Steady(0.002, 10)
 			m.Median = func(c trial.Call) float64 {
@@ -137,6 +143,18 @@
 		{name: "fails at the whole share", set: func(t *trial.Trial) {
 			t.New = failing(0.2, func(c trial.Call) bool { return c.Permille == 1000 })
 		}},
+		{name: "fails while settling", set: func(t *trial.Trial) {
+			t.Settle = 20 * time.Second
+			t.New = failing(0.2, between(72*time.Second, time.Hour))
+		}},
+		{name: "fails while settling with the store out", set: func(t *trial.Trial) {
+			t.Settle = 20 * time.Second
+			t.New = failing(0.2, between(72*time.Second, time.Hour))
+			t.Disturb = func(t *trial.Trial) {
+				t.At(71*time.Second, func() { t.Simulator().Store().SetOut(true) })
+				t.At(90*time.Second, func() { t.Simulator().Store().SetOut(false) })
+			}
+		}},
 		{name: "fails one route", reason: "route upload", set: func(t *trial.Trial) {
 			t.New = failing(0.3, func(c trial.Call) bool { return c.Route == "upload" })
 		}},
--- a/mesh/scheduler/decision.go
+++ b/mesh/scheduler/decision.go
@@ -7,6 +7,7 @@
 const (
 	Hold     Action = "hold"
 	Widen    Action = "widen"
+	Narrow   Action = "narrow" // give the old version calls to compare with
 	Finish   Action = "finish"
 	TakeBack Action = "take back"
 )
@@ -23,7 +24,7 @@
 // Action returns what to do now.
 func (d Decision) Action() Action { return d.action }
 
-// Share returns the share to widen to, in thousandths.
+// Share returns the share to widen or narrow to, in thousandths.
 func (d Decision) Share() int { return d.share }
 
 // Reason returns one sentence that says why.
--- a/mesh/scheduler/scheduler.go
+++ b/mesh/scheduler/scheduler.go
@@ -85,6 +85,12 @@
 
 // settle waits at the whole share until the settle time has passed with good evidence.
 func (f Fields) settle() Decision {
+	if f.Finding == judge.Suspect {
+		return Decision{
+			action: Narrow, share: steps[len(steps)-2], reason: "calls fail more often than before the whole share",
+			next: "a verdict after a comparison with the old version",
+		}
+	}
 	end := f.Changed.Add(f.Settle)
 	if f.Now.Before(end) {
 		return Decision{
--- a/mesh/scheduler/trace_test.go
+++ b/mesh/scheduler/trace_test.go
@@ -21,6 +21,7 @@
 //	ready <duration>                the new version has an endpoint from then on
 //	evidence <duration>             the evidence at each share is good after that time
 //	doubt from <duration> to <duration>   and not good in between
+//	suspect from <duration> to <duration> an alarm waits for old calls in between
 //	frozen from <duration> to <duration>  no decision is carried out in between, as when the store is out
 //	play <duration>                 carries the decisions out, one each second
 //
@@ -52,6 +53,7 @@
 	ready         time.Duration
 	evidence      time.Duration
 	doubt, frozen span
+	suspect       span
 	out           bytes.Buffer
 	last          string
 }
@@ -82,6 +84,8 @@
 		p.evidence = duration(t, words[1])
 	case "doubt":
 		p.doubt = span{duration(t, words[2]), duration(t, words[4])}
+	case "suspect":
+		p.suspect = span{duration(t, words[2]), duration(t, words[4])}
 	case "frozen":
 		p.frozen = span{duration(t, words[2]), duration(t, words[4])}
 	case "play":
@@ -120,12 +124,15 @@
 	if f.Share > 0 && f.Now.Sub(f.Changed) >= p.evidence && !p.doubt.holds(at) {
 		f.Finding, f.Needed = judge.Good, 0
 	}
+	if p.suspect.holds(at) {
+		f.Finding = judge.Suspect
+	}
 	d := Plan(*f)
 	if line := fmt.Sprintf("%s %d late=%v finding=%s", d.Action(), d.Share(), d.Late(), f.Finding); line != p.last {
 		p.last = line
 		fmt.Fprintf(&p.out, "%s at %d: %s; %s; next: %s\n", at, f.Share, line, d.Reason(), d.Next())
 	}
-	if d.Action() == Widen {
+	if d.Action() == Widen || d.Action() == Narrow {
 		f.Share, f.Changed = d.Share(), f.Now
 	}
 	return d.Action() == Finish || d.Action() == TakeBack
