--- a/bench/main.go
+++ b/bench/main.go
@@ -8,6 +8,8 @@
 	"github.com/alecthomas/kong"
 
 	_ "wisteriaspoke.example/bench/calls"
+	_ "wisteriaspoke.example/bench/distribution"
+	_ "wisteriaspoke.example/bench/rollouts"
 	"wisteriaspoke.example/bench/reporter"
 )
 
