explain: connect the operators' API to the call path

Cause: the admitter's Explain returned its own type and so did not fit the interface that the operators' API looks for; the command said that the node routes no calls. Ruled out: a missing import.

--- a/ctl/explain/explain.go
+++ b/ctl/explain/explain.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/url"
 	"slices"
+	"strings"
 
 	"wisteriaspoke.example/ctl/core"
 )
@@ -34,7 +35,38 @@
 	if err != nil {
 		return err
 	}
-	return s.Print(raw, func(w io.Writer) { flatten(w, "", answer) })
+	return s.Print(raw, func(w io.Writer) {
+		flatten(w, "", answer)
+		if top, ok := answer.(map[string]any); ok {
+			for _, key := range slices.Sorted(maps.Keys(top)) {
+				table(w, key, top[key])
+			}
+		}
+	})
+}
+
+// table writes a list of objects with one row for each.
+func table(w io.Writer, name string, value any) {
+	rows, ok := value.([]any)
+	if !ok || !objects(rows) {
+		return
+	}
+	columns := slices.Sorted(maps.Keys(rows[0].(map[string]any)))
+	fmt.Fprintf(w, "\n%s\n%s\n", strings.ToUpper(name), strings.ToUpper(strings.Join(columns, "\t")))
+	for _, row := range rows {
+		cells := make([]string, len(columns))
+		for i, c := range columns {
+			cells[i] = fmt.Sprint(row.(map[string]any)[c])
+		}
+		fmt.Fprintln(w, strings.Join(cells, "\t"))
+	}
+}
+
+func objects(rows []any) bool {
+	return len(rows) > 0 && !slices.ContainsFunc(rows, func(r any) bool {
+		_, ok := r.(map[string]any)
+		return !ok
+	})
 }
 
 func flatten(w io.Writer, name string, value any) {
@@ -44,6 +76,9 @@
 			flatten(w, join(name, key), v[key])
 		}
 	case []any:
+		if objects(v) {
+			return
+		}
 		for i, item := range v {
 			flatten(w, join(name, fmt.Sprint(i)), item)
 		}
--- a/mesh/admitter/explain.go
+++ b/mesh/admitter/explain.go
@@ -48,8 +48,12 @@
 	rank int
 }
 
-// Explain returns what would happen to a call now, without sending one.
-func (a *Admitter) Explain(method, host, path string, header func(name string) string) Explanation {
+// Explain returns an Explanation of what would happen to a call now, without sending one.
+func (a *Admitter) Explain(method, host, path string, header func(name string) string) any {
+	return a.explain(method, host, path, header)
+}
+
+func (a *Admitter) explain(method, host, path string, header func(name string) string) Explanation {
 	s := a.source.Snapshot()
 	if s == nil {
 		return Explanation{Why: "no configuration is in force on this node"}
