relayer: leave out of heartbeats what the other side has

Cause: at 8,600 nodes the busiest relay spent 205 KB/s, most of it on seats and subscriptions repeated to 860 clients each second. Ruled out: whole states and deltas, which are few at this rate of changes. Subscriptions are sent in full once, pulses name seats only after a change, and the second relay is heard every 2 s.

--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -12,6 +12,8 @@
 
 const (
 	subscribePeriod = time.Second
+	// secondPeriod is the period to relays that do not push; it stays well under clientTimeout.
+	secondPeriod = 2 * time.Second
 	// floorPeriod is how often a node that needs the version floor asks for it.
 	floorPeriod = 200 * time.Millisecond
 	// retargetSpread spreads the first messages of a data centre's nodes to relays that are new to them.
@@ -28,15 +30,18 @@
 	demanded []string
 	relays   []string // the first pushes deltas, the second the version
 	heard    map[string]time.Time
-	since    time.Time // when relays last changed
-	at       time.Time // of the next subscription
+	at       time.Time            // of the next subscription
+	told     map[string]bool      // relays that have the full subscription
+	toldAt   map[string]time.Time // of the last subscription
 	newest   map[string]uint64
 	lagging  time.Time
 	pullAt   time.Time
 	whole    bool // the next pull asks for the whole state
 }
 
-func newClient() client { return client{heard: map[string]time.Time{}, newest: map[string]uint64{}} }
+func newClient() client {
+	return client{heard: map[string]time.Time{}, newest: map[string]uint64{}, told: map[string]bool{}, toldAt: map[string]time.Time{}}
+}
 
 // connected reports whether one of the node's relays is heard.
 func (c *client) connected(now time.Time) bool {
@@ -46,6 +51,8 @@
 func (c *client) unlinked(peer string) {
 	delete(c.heard, peer)
 	delete(c.newest, peer)
+	delete(c.told, peer)
+	delete(c.toldAt, peer)
 }
 
 func (c *client) retarget() {
@@ -64,8 +71,10 @@
 			period = floorPeriod
 		}
 		r.client.at = r.now.Add(period)
-		for i := range r.client.relays {
-			r.subscribe(i, false)
+		for i, a := range r.client.relays {
+			if i == 0 || !r.floor.known || r.now.Sub(r.client.toldAt[a]) >= secondPeriod {
+				r.subscribe(i, false)
+			}
 		}
 	}
 	r.pullIfLagging()
@@ -88,7 +97,8 @@
 		return
 	}
 	c.relays = next
-	c.since = r.now
+	// The order may have changed, and with it who pushes.
+	clear(c.toldAt)
 	c.at = r.now.Add(r.jitter(retargetSpread))
 	r.wake(c.at)
 }
@@ -119,12 +129,28 @@
 	if pull && c.whole {
 		m.Digest = 0
 	}
-	r.send(c.relays[index], subscribeKind, m)
+	address := c.relays[index]
+	if c.told[address] {
+		m.Kept = true
+		m.Centre, m.Service, m.Demanded, m.Refused, m.Reason = "", "", nil, 0, ""
+	}
+	c.told[address] = true
+	c.toldAt[address] = r.now
+	r.send(address, subscribeKind, m)
 }
 
 func (r *relayer) receivePulse(from string, m *pulse) {
 	c := &r.client
+	if m.Again {
+		delete(c.told, from)
+		c.at = r.now
+		r.tickClient()
+		return
+	}
 	r.merge(m.Seats)
+	if h := r.table.touch(from, m.Renewed, r.now); h != nil && h.centre == r.config.DataCentre && h.index < seatCount {
+		r.leases[h.index].Heard(r.now, h.epoch, time.UnixMilli(m.Renewed))
+	}
 	r.finder.found = true
 	r.claim.fleet = m.Nodes
 	c.heard[from] = r.now
@@ -215,6 +241,7 @@
 	}
 	c.demanded = append(slices.Clone(c.demanded), service)
 	slices.Sort(c.demanded)
+	clear(c.told)
 	if r.seat < 0 && len(c.relays) > 0 {
 		r.subscribe(0, true)
 	}
--- a/mesh/relayer/messages.go
+++ b/mesh/relayer/messages.go
@@ -36,7 +36,7 @@
 }
 
 type subscribe struct {
-	Centre   string   `cbor:"1,keyasint"`
+	Centre   string   `cbor:"1,keyasint,omitempty"`
 	Service  string   `cbor:"2,keyasint,omitempty"`
 	Demanded []string `cbor:"3,keyasint,omitempty"`
 	Version  uint64   `cbor:"4,keyasint,omitempty"`
@@ -46,6 +46,7 @@
 	Push     bool     `cbor:"8,keyasint,omitempty"`  // send deltas without being asked
 	Pull     bool     `cbor:"9,keyasint,omitempty"`  // send a delta now
 	Relay    bool     `cbor:"10,keyasint,omitempty"` // the whole configuration, also before it is confirmed
+	Kept     bool     `cbor:"12,keyasint,omitempty"` // fields 1 to 3, 6 and 7 are as last sent, and left out
 	Stamp    int64    `cbor:"11,keyasint,omitempty"` // milliseconds since the client's start while it needs the floor
 }
 
@@ -56,6 +57,8 @@
 	Stamp   int64  `cbor:"4,keyasint,omitempty"` // of the subscription; set when Floor is known
 	Floor   uint64 `cbor:"5,keyasint,omitempty"`
 	Out     bool   `cbor:"6,keyasint,omitempty"` // the store does not answer the sender
+	Renewed int64  `cbor:"7,keyasint,omitempty"` // of the sender's own lease
+	Again   bool   `cbor:"8,keyasint,omitempty"` // the sender lacks the subscription; send it in full
 }
 
 type later struct {
--- a/mesh/relayer/messages_test.go
+++ b/mesh/relayer/messages_test.go
@@ -28,6 +28,9 @@
 		}},
 		{subscribeKind, &subscribe{Centre: "obb-a", Version: 6, Digest: 0xfeed, Push: true}},
 		{pulseKind, &pulse{Version: 7, Seats: seats, Nodes: 3, Stamp: 12, Floor: 7, Out: true}},
+		{subscribeKind, &subscribe{Version: 6, Digest: 0xfeed, Push: true, Kept: true}},
+		{pulseKind, &pulse{Version: 7, Nodes: 860, Renewed: 1_000_000}},
+		{pulseKind, &pulse{Again: true}},
 		{laterKind, &later{Wait: 450}},
 		{syncKind, &syncing{Latest: 8, Confirmed: 7, Digest: 0xfeed, Seats: seats, Refused: 9, Reason: "missing"}},
 	}
--- a/mesh/relayer/server.go
+++ b/mesh/relayer/server.go
@@ -13,6 +13,9 @@
 	// pulsePeriod bounds the silence to clients while the store takes no renewals; it is longer than renewPeriod so
 	// that a renewal triggers the pulse in ordinary times.
 	pulsePeriod = 1200 * time.Millisecond
+	// secondPulse is the shortest time between pulses to a client that takes its deltas from another relay. New
+	// versions are told at once; this only shows that the relay lives.
+	secondPulse = 1500 * time.Millisecond
 	// clientTimeout is how long a silent client is counted and served.
 	clientTimeout = 5 * time.Second
 	// wholeRate bounds whole-state answers per second, from the design page.
@@ -28,6 +31,7 @@
 	digest    uint64
 	changes   int // of the table that the subscriber has
 	nextTable time.Time
+	pulsed    time.Time
 	waits     bool // for the floor
 }
 
@@ -75,6 +79,13 @@
 	}
 	c := r.server.clients[from]
 	fresh := c == nil
+	if m.Kept {
+		if fresh {
+			r.send(from, pulseKind, &pulse{Again: true})
+			return
+		}
+		m = c.sub.refreshed(m)
+	}
 	if fresh {
 		c = &subscriber{changes: -1}
 		r.server.clients[from] = c
@@ -97,6 +108,12 @@
 	}
 }
 
+// refreshed returns the subscription with the changing fields of a short one.
+func (s subscribe) refreshed(m *subscribe) *subscribe {
+	s.Version, s.Digest, s.Push, s.Pull, s.Stamp = m.Version, m.Digest, m.Push, m.Pull, m.Stamp
+	return &s
+}
+
 func (r *relayer) answerRelay(from string, m *subscribe) {
 	latest := r.supply.latest
 	if m.Version >= latest.Version() {
@@ -168,12 +185,15 @@
 func (r *relayer) pulseAll() {
 	r.server.pulsedAt = r.now
 	for _, address := range slices.Sorted(maps.Keys(r.server.clients)) {
-		r.pulse(address, r.server.clients[address])
+		c := r.server.clients[address]
+		if c.sub.Push || r.now.Sub(c.pulsed) >= secondPulse {
+			r.pulse(address, c)
+		}
 	}
 }
 
-// pulse tells a subscriber the confirmed version and the relays: always those of the own data centre, the others when
-// a holder changed and every tablePeriod, spread over the subscribers.
+// pulse tells a subscriber the confirmed version, and the relays when a holder changed and at intervals that are
+// spread over the subscribers.
 func (r *relayer) pulse(address string, c *subscriber) {
 	whole := c.changes != r.table.changes || !r.now.Before(c.nextTable)
 	if whole {
@@ -181,18 +201,24 @@
 		c.nextTable = r.now.Add(subscriberTable/2 + r.jitter(subscriberTable))
 	}
 	gateways := map[string]bool{}
-	for _, h := range r.remoteGateways() {
-		gateways[h.holder] = true
+	if whole {
+		for _, h := range r.remoteGateways() {
+			gateways[h.holder] = true
+		}
 	}
-	r.send(address, pulseKind, &pulse{
-		Version: r.supply.confirmed, Nodes: r.fleet(), Out: r.store.out,
-		Seats: r.table.seats(r.now, func(h *holding) bool {
-			if h.centre == r.config.DataCentre {
+	c.pulsed = r.now
+	p := &pulse{
+		Version: r.supply.confirmed, Nodes: r.fleet(), Out: r.store.out, Renewed: r.lease().Record().Renewed().UnixMilli(),
+	}
+	if whole {
+		p.Seats = r.table.seats(r.now, func(h *holding) bool {
+			if h.centre == r.config.DataCentre || h.centre == c.sub.Centre {
 				return true
 			}
-			return whole && h.live(r.now) && (h.region == r.config.Region || gateways[h.holder])
-		}),
-	})
+			return h.live(r.now) && (h.region == r.config.Region || gateways[h.holder])
+		})
+	}
+	r.send(address, pulseKind, p)
 }
 
 // subscriberTable is how often a subscriber gets the relays outside of its data centre, which it needs only when both
--- a/mesh/relayer/supply.go
+++ b/mesh/relayer/supply.go
@@ -110,6 +110,7 @@
 	}
 	r.supply.refused, r.supply.reason = version, reason
 	r.client.refused, r.client.reason = version, reason
+	clear(r.client.told)
 }
 
 // below returns the highest version up to the given one whose content is not known to be wrong.
--- a/mesh/relayer/table.go
+++ b/mesh/relayer/table.go
@@ -63,6 +63,18 @@
 	h.renewed = max(h.renewed, s.Renewed)
 }
 
+// touch notes that the holder at the address was heard and when it renewed its lease, and returns its holding, or nil.
+func (t *table) touch(address string, renewed int64, now time.Time) *holding {
+	for _, h := range t.order {
+		if h.holder == address {
+			h.heard = now
+			h.renewed = max(h.renewed, renewed)
+			return h
+		}
+	}
+	return nil
+}
+
 // unlink notes that the link to the address closed.
 func (t *table) unlink(address string, now time.Time) {
 	for _, h := range t.order {
