relayer: turn to last known relays of other data centres at once

Cause: nodes dropped relays of other data centres from view 3 s after the last news, so a node that lost both of its relays had to ask seeds first. Ruled out: the rate of whole states (200/s), which was not reached.

--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -18,6 +18,8 @@
 	floorPeriod = 200 * time.Millisecond
 	// retargetSpread spreads the first messages of a data centre's nodes to relays that are new to them.
 	retargetSpread = 50 * time.Millisecond
+	// borrowPatience is how long a relay of another data centre may take to answer a node that turns to it.
+	borrowPatience = 500 * time.Millisecond
 	// relaySilence is how long a node waits for its relays before it looks for others.
 	relaySilence = 2500 * time.Millisecond
 )
@@ -30,6 +32,7 @@
 	demanded []string
 	relays   []string // the first pushes deltas, the second the version
 	heard    map[string]time.Time
+	since    time.Time            // when relays last changed
 	at       time.Time            // of the next subscription
 	told     map[string]bool      // relays that have the full subscription
 	toldAt   map[string]time.Time // of the last subscription
@@ -83,26 +86,43 @@
 // chooseRelays takes the live relays of the own data centre, or one of the region or elsewhere while there are none.
 func (r *relayer) chooseRelays() {
 	c := &r.client
-	match := func(f func(*holding) bool) []string {
-		return addresses(r.table.selectLive(r.now, func(h *holding) bool { return h.holder != r.config.Node && f(h) }))
-	}
-	next := match(func(h *holding) bool { return h.centre == r.config.DataCentre })
-	if len(next) == 0 {
-		next = r.borrow(match(func(h *holding) bool { return h.region == r.config.Region }))
-	}
+	next := addresses(r.table.selectLive(r.now, func(h *holding) bool {
+		return h.centre == r.config.DataCentre && h.holder != r.config.Node
+	}))
 	if len(next) == 0 {
-		next = r.borrow(match(func(*holding) bool { return true }))
+		next = r.chooseBorrowed()
 	}
 	if slices.Equal(next, c.relays) {
 		return
 	}
 	c.relays = next
+	c.since = r.now
 	// The order may have changed, and with it who pushes.
 	clear(c.toldAt)
 	c.at = r.now.Add(r.jitter(retargetSpread))
 	r.wake(c.at)
 }
 
+// chooseBorrowed returns a relay of another data centre, of the own region if there is one, and drops one that does
+// not answer. The node hears nothing of these relays while its own ones live, so their last news may be old.
+func (r *relayer) chooseBorrowed() []string {
+	c := &r.client
+	for _, a := range c.relays {
+		if c.heard[a].Before(c.since) && r.now.Sub(c.since) > borrowPatience {
+			r.table.unlink(a, r.now)
+		}
+	}
+	for _, region := range []bool{true, false} {
+		known := r.table.selectKnown(func(h *holding) bool {
+			return h.centre != r.config.DataCentre && h.holder != r.config.Node && (h.region == r.config.Region) == region
+		})
+		if next := r.borrow(addresses(known)); len(next) > 0 {
+			return next
+		}
+	}
+	return nil
+}
+
 // borrow picks one of the addresses, the one in use if it is among them.
 func (r *relayer) borrow(from []string) []string {
 	if len(from) == 0 {
--- a/mesh/relayer/server.go
+++ b/mesh/relayer/server.go
@@ -24,15 +24,14 @@
 
 // subscriber is a node that this relay serves.
 type subscriber struct {
-	sub       subscribe
-	heard     time.Time
-	sent      time.Time // of the last delta
-	version   uint64    // of the last delta, or as the subscriber said
-	digest    uint64
-	changes   int // of the table that the subscriber has
-	nextTable time.Time
-	pulsed    time.Time
-	waits     bool // for the floor
+	sub     subscribe
+	heard   time.Time
+	sent    time.Time // of the last delta
+	version uint64    // of the last delta, or as the subscriber said
+	digest  uint64
+	changes int // of the table that the subscriber has
+	pulsed  time.Time
+	waits   bool // for the floor
 }
 
 type deltaKey struct {
@@ -192,14 +191,10 @@
 	}
 }
 
-// pulse tells a subscriber the confirmed version, and the relays when a holder changed and at intervals that are
-// spread over the subscribers.
+// pulse tells a subscriber the confirmed version, and the relays when a holder changed.
 func (r *relayer) pulse(address string, c *subscriber) {
-	whole := c.changes != r.table.changes || !r.now.Before(c.nextTable)
-	if whole {
-		c.changes = r.table.changes
-		c.nextTable = r.now.Add(subscriberTable/2 + r.jitter(subscriberTable))
-	}
+	whole := c.changes != r.table.changes
+	c.changes = r.table.changes
 	gateways := map[string]bool{}
 	if whole {
 		for _, h := range r.remoteGateways() {
@@ -221,10 +216,6 @@
 	r.send(address, pulseKind, p)
 }
 
-// subscriberTable is how often a subscriber gets the relays outside of its data centre, which it needs only when both
-// of its own are gone.
-const subscriberTable = 20 * time.Second
-
 // fleet returns the number of nodes of the data centre that this relay hears, with itself.
 func (r *relayer) fleet() int {
 	n := 1
--- a/mesh/relayer/table.go
+++ b/mesh/relayer/table.go
@@ -86,7 +86,7 @@
 
 func (t *table) at(centre string, index int) *holding { return t.holdings[place{centre, index}] }
 
-// select returns the live holdings that match, by place.
+// selectLive returns the live holdings that match, by place.
 func (t *table) selectLive(now time.Time, match func(*holding) bool) []*holding {
 	var hs []*holding
 	for _, h := range t.order {
@@ -97,6 +97,18 @@
 	return hs
 }
 
+// selectKnown returns the holdings that match and whose link has not closed since their holder was last heard,
+// however long ago that was.
+func (t *table) selectKnown(match func(*holding) bool) []*holding {
+	var hs []*holding
+	for _, h := range t.order {
+		if h.holder != "" && h.heard.After(h.down) && match(h) {
+			hs = append(hs, h)
+		}
+	}
+	return hs
+}
+
 // gateway returns the live holding with the lowest place in the region, or nil.
 func (t *table) gateway(now time.Time, region string) *holding {
 	for _, h := range t.order {
