roller: take back deleted rollouts, subscribe where needed, status tests

Cause: a rollout object deleted under way left its share in force and its holder reading it every 200 ms. Relays whose upstream does not depend on the service did not ask for its endpoint sets.

A deleted rollout is taken back in the head. A gateway with a job demands the service until it knows endpoints of it.

--- a/mesh/roller/change.go
+++ b/mesh/roller/change.go
@@ -179,6 +179,11 @@
 // note writes the change to the rollout object.
 func (j *job) note(now time.Time) []effect.Effect {
 	c := j.change
+	if j.deleted {
+		// There is nothing left to write to; the zero rollout is finished.
+		j.change, j.rollout = nil, rollout.Rollout{}
+		return nil
+	}
 	c.noted = j.token()
 	r := j.rollout
 	at := r.Changed()
--- a/mesh/roller/job.go
+++ b/mesh/roller/job.go
@@ -50,6 +50,7 @@
 	service string
 	object  object.Object
 	rollout rollout.Rollout
+	deleted bool // an operator deleted the rollout object
 
 	claimed  uint64 // epoch for which the head carries this node's claim
 	permille int    // share in the head
@@ -71,6 +72,7 @@
 
 // see takes the rollout as it stands in the store.
 func (j *job) see(s standing) {
+	j.deleted = false
 	if s.object.Revision() == j.object.Revision() {
 		return
 	}
@@ -128,7 +130,7 @@
 		return false
 	}
 	_, bad := j.rulings.reason(j.service, j.rollout.ID())
-	return bad || j.rollout.Cancel()
+	return bad || j.rollout.Cancel() || j.deleted
 }
 
 // plan returns the next change, or nil when there is nothing to write now.
@@ -140,6 +142,9 @@
 	if r.Cancel() {
 		return j.back("an operator cancelled the move")
 	}
+	if j.deleted {
+		return j.back("an operator deleted the move")
+	}
 	if j.claimed != j.lease.epoch() {
 		return &change{claim: true, state: r.State()}
 	}
--- a/mesh/roller/roller.go
+++ b/mesh/roller/roller.go
@@ -65,17 +65,31 @@
 	return append(fs, r.drive(now, e)...)
 }
 
-// subscribe asks for the share of a service whose counts arrive; a relay's own upstream may not depend on the service.
+// subscribe asks for a service whose share or endpoints this node needs; a relay's own upstream may not depend on it.
 func (r *Roller) subscribe(now time.Time, e event.Event) []effect.Effect {
-	m, ok := e.Message().Body().(*counts)
-	if !ok || now.Sub(r.demanded[m.Service]) < demandPeriod {
+	if m, ok := e.Message().Body().(*counts); ok {
+		if _, known := r.view.shares[m.Service]; !known {
+			return r.demand(now, m.Service)
+		}
+	}
+	if e.Kind() != event.Tick {
 		return nil
 	}
-	if _, known := r.view.shares[m.Service]; known {
+	var fs []effect.Effect
+	for _, service := range sortedKeys(r.jobs) {
+		if len(r.view.groups[service]) == 0 {
+			fs = append(fs, r.demand(now, service)...)
+		}
+	}
+	return fs
+}
+
+func (r *Roller) demand(now time.Time, service string) []effect.Effect {
+	if now.Sub(r.demanded[service]) < demandPeriod {
 		return nil
 	}
-	r.demanded[m.Service] = now
-	return []effect.Effect{effect.NewRaise(event.NewLocal(event.Demand, m.Service))}
+	r.demanded[service] = now
+	return []effect.Effect{effect.NewRaise(event.NewLocal(event.Demand, service))}
 }
 
 func (r *Roller) holds(now time.Time, service string) bool {
@@ -124,6 +138,11 @@
 		}
 		j.see(s)
 	}
+	for service, j := range r.jobs {
+		if _, stands := r.watcher.rollouts[service]; r.watcher.synced && !stands {
+			j.deleted = true
+		}
+	}
 }
 
 // wanted reports whether this node should hold the lease of the job.
--- a/mesh/roller/roller_test.go
+++ b/mesh/roller/roller_test.go
@@ -324,6 +324,19 @@
 	}
 }
 
+// Guards against a share that stays in force for ever when its rollout object is deleted.
+func TestDeletedRolloutIsTakenBack(t *testing.T) {
+	tr := newTrial(1)
+	tr.Disturb = func(t *trial.Trial) { t.At(30*time.Second, t.Delete) }
+	r := tr.Run()
+	if s := r.Share(); s.Stable() != trial.From || s.Candidate() != "" || s.Rollout() == "" {
+		t.Errorf("the head shows %q beside %q", s.Stable(), s.Candidate())
+	}
+	for _, f := range r.Faults() {
+		t.Error(f)
+	}
+}
+
 // stopped lets a machine's clock stand still while its node is paused, as on a suspended virtual machine; then the
 // lease's expiry is not noticed and only the epoch in the head keeps the old holder from writing.
 type stopped struct {
--- a/mesh/roller/trial/fixed.go
+++ b/mesh/roller/trial/fixed.go
@@ -30,14 +30,14 @@
 	}
 	f.past = append(f.past, t.traffic.fresh)
 	if f.bad() {
-		f.end(rollout.TakenBack, share.New(From, "", 0, t.rollout().ID(), 1))
+		f.end(rollout.TakenBack, share.New(From, "", 0, t.Rollout().ID(), 1))
 		return
 	}
 	elapsed := t.sim.Now().Sub(t.asked)
 	third := (t.Deadline - t.Settle) / 3
 	switch {
 	case elapsed >= t.Deadline-2*time.Second:
-		f.end(rollout.Done, share.New(To, "", 0, t.rollout().ID(), 1))
+		f.end(rollout.Done, share.New(To, "", 0, t.Rollout().ID(), 1))
 	case elapsed >= 3*third:
 		f.widen(share.Whole)
 	case elapsed >= 2*third:
@@ -59,7 +59,7 @@
 func (f *fixed) widen(permille int) {
 	if f.share != permille {
 		f.share = permille
-		f.put(share.New(From, To, permille, f.trial.rollout().ID(), 1))
+		f.put(share.New(From, To, permille, f.trial.Rollout().ID(), 1))
 	}
 }
 
@@ -77,7 +77,7 @@
 	}
 	f.trial.sim.After(time.Second, func() {
 		f.put(s)
-		r := f.trial.rollout().WithState(state, 0, f.trial.sim.Now(), "", "")
+		r := f.trial.Rollout().WithState(state, 0, f.trial.sim.Now(), "", "")
 		f.trial.sim.Store().Put(rollout.Plural, Service, must(r.Encode()))
 	})
 }
--- a/mesh/roller/trial/fleet.go
+++ b/mesh/roller/trial/fleet.go
@@ -12,12 +12,17 @@
 	"wisteriaspoke.example/mesh/group"
 	"wisteriaspoke.example/mesh/head"
 	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/object"
+	"wisteriaspoke.example/mesh/rollout"
 	"wisteriaspoke.example/mesh/roster"
 )
 
 // relayLoss is how long a dead or paused relay keeps its seat.
 const relayLoss = 3 * time.Second
 
+// deletion is the local event on which a node deletes the rollout object, as an operator's tool does.
+const deletion = "trial:delete"
+
 // publisher hands each configuration to the data path, as the distributing machine does.
 type publisher struct{}
 
@@ -26,6 +31,9 @@
 	if c, ok := e.Value().(config.Config); ok {
 		return []effect.Effect{effect.NewPublish(c)}
 	}
+	if e.Kind() == event.Local && e.ID() == deletion {
+		return []effect.Effect{effect.NewStore(effect.Delete, deletion, object.New(rollout.Plural, Service, "", nil))}
+	}
 	return nil
 }
 
--- a/mesh/roller/trial/oracle.go
+++ b/mesh/roller/trial/oracle.go
@@ -56,7 +56,7 @@
 	}
 	if r := store.Object(rollout.Plural, Service); r.Revision() != o.objectAt {
 		o.objectAt = r.Revision()
-		o.checkRollout(o.trial.rollout())
+		o.checkRollout(o.trial.Rollout())
 	}
 }
 
--- a/mesh/roller/trial/report.go
+++ b/mesh/roller/trial/report.go
@@ -4,12 +4,14 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/rollout"
+	"wisteriaspoke.example/mesh/share"
 )
 
 // Report is what was seen of one trial.
 type Report struct {
 	faults  []string
 	rollout rollout.Rollout
+	share   share.Share
 	took    time.Duration
 	inTime  bool
 	harm    float64
@@ -22,10 +24,10 @@
 
 func (t *Trial) report() Report {
 	r := Report{
-		faults: t.oracle.faults, rollout: t.rollout(), took: t.oracle.ended.Sub(t.asked),
+		faults: t.oracle.faults, rollout: t.Rollout(), took: t.oracle.ended.Sub(t.asked),
 		harm:  float64(t.traffic.harmed) / (t.Rate * t.Deadline.Seconds()),
 		dense: float64(t.traffic.harmed) / float64(max(t.traffic.calls, 1)), verdict: !t.oracle.verdict.IsZero(),
-		states: t.oracle.states,
+		states: t.oracle.states, share: t.oracle.share,
 	}
 	r.inTime = t.oracle.finished && !t.oracle.ended.After(t.asked.Add(t.Deadline))
 	if r.verdict {
@@ -46,6 +48,9 @@
 // Rollout returns the rollout as it ended.
 func (r Report) Rollout() rollout.Rollout { return r.rollout }
 
+// Share returns the share that stood in the head at the end.
+func (r Report) Share() share.Share { return r.share }
+
 // Took returns the time from the request to the end.
 func (r Report) Took() time.Duration { return r.took }
 
--- a/mesh/roller/trial/trial.go
+++ b/mesh/roller/trial/trial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/controller"
+	"wisteriaspoke.example/mesh/event"
 	"wisteriaspoke.example/mesh/head"
 	"wisteriaspoke.example/mesh/machine"
 	"wisteriaspoke.example/mesh/roller"
@@ -130,10 +131,15 @@
 
 // Cancel asks to take the rollout back, as an operator's tool does.
 func (t *Trial) Cancel() {
-	r := t.rollout()
+	r := t.Rollout()
 	t.sim.Store().Put(rollout.Plural, Service, must(r.WithCancel().WithWrite("cancelled", "operator").Encode()))
 }
 
+// Delete deletes the rollout object, as an operator may.
+func (t *Trial) Delete() {
+	t.sim.Inject(t.sim.Nodes()[0], event.NewLocal(deletion, nil))
+}
+
 // Preset puts another preset in force, as an operator's tool does.
 func (t *Trial) Preset(name string) {
 	h, err := head.Decode(t.sim.Store().Object(head.Plural, head.Name))
@@ -162,7 +168,8 @@
 	return l
 }
 
-func (t *Trial) rollout() rollout.Rollout {
+// Rollout returns the rollout as it stands in the store.
+func (t *Trial) Rollout() rollout.Rollout {
 	r, err := rollout.Decode(t.sim.Store().Object(rollout.Plural, Service))
 	if err != nil {
 		panic(err)
--- a/mesh/roller/watcher.go
+++ b/mesh/roller/watcher.go
@@ -28,6 +28,7 @@
 	view     *view
 	rollouts map[string]standing // by service
 	busy     bool                // a list or a watch is under way
+	synced   bool                // rollouts holds what stands in the store, up to the delay of the watch
 	next     time.Time
 }
 
@@ -44,7 +45,7 @@
 		w.busy = true
 		return []effect.Effect{effect.NewStore(effect.List, listID, object.New(rollout.Plural, "", "", nil))}
 	case e.Kind() == event.Tick && !wanted && w.busy:
-		w.busy = false
+		w.busy, w.synced = false, false
 		w.rollouts = map[string]standing{}
 		return []effect.Effect{effect.NewUnwatch(watchID)}
 	}
@@ -63,6 +64,7 @@
 	for _, o := range e.Objects() {
 		w.put(o)
 	}
+	w.synced = true
 	return []effect.Effect{effect.NewStore(effect.Watch, watchID, object.New(rollout.Plural, "", e.Revision(), nil))}
 }
 
@@ -79,7 +81,7 @@
 }
 
 func (w *watcher) pause(now time.Time) {
-	w.busy = false
+	w.busy, w.synced = false, false
 	w.next = now.Add(listPause + time.Duration(w.view.node.Rand.Int64N(int64(listPause/2))))
 }
 
