--- a/mesh/oracle/traffic.go
+++ b/mesh/oracle/traffic.go
@@ -73,6 +73,7 @@
 // report gives each node the outcomes of its calls, as the data path does.
 func (f *Fleet) report() {
 	for _, address := range f.sim.Nodes() {
+		f.miss(address)
 		ts := f.outcomes[address]
 		delete(f.outcomes, address)
 		if len(ts) == 0 || !f.running(address) {
@@ -87,6 +88,20 @@
 	}
 }
 
+// miss demands the services that the node has calls for and whose definition it lacks, as the data path does.
+func (f *Fleet) miss(address string) {
+	n := f.nodes[address]
+	s := n.publisher.Snapshot()
+	if s == nil || !f.running(address) {
+		return
+	}
+	for _, name := range services {
+		if n.demanded[name] && s.Pool(name) == nil {
+			f.sim.Inject(address, event.NewLocal(event.Demand, name))
+		}
+	}
+}
+
 func compareKeys(a, b outcome.Key) int {
 	return slices.Compare([]string{a.Service, a.Version, a.Region}, []string{b.Service, b.Version, b.Region})
 }
--- a/mesh/publisher/publisher.go
+++ b/mesh/publisher/publisher.go
@@ -103,7 +103,8 @@
 }
 
 func (p *Publisher) publishConfig(c config.Config) {
-	if p.table != nil && c.Version() <= p.config.Version() {
+	// The same version comes again with more or fewer services when the node's subscription changes.
+	if p.table != nil && c.Version() < p.config.Version() {
 		p.log.Debug("older configuration ignored", "version", c.Version(), "inforce", p.config.Version())
 		return
 	}
--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -210,16 +210,23 @@
 // demand subscribes to one more service.
 func (r *relayer) demand(service string) {
 	c := &r.client
-	if _, ok := c.state.Part(service); ok || slices.Contains(c.demanded, service) {
+	if _, ok := r.own().Part(service); ok || slices.Contains(c.demanded, service) {
 		return
 	}
 	c.demanded = append(slices.Clone(c.demanded), service)
 	slices.Sort(c.demanded)
-	if r.seat < 0 && len(c.relays) > 0 {
+	switch {
+	case r.seat >= 0:
+		r.publish()
+	case len(c.relays) > 0:
 		r.subscribe(0, true)
 	}
 }
 
+// own returns the part of the state that this node subscribes to. A relay holds all services for other nodes, but its
+// registrar hands over only the endpoint sets of the node's own subscription.
+func (r *relayer) own() differ.State { return r.client.state.Filter(r.config.Service, r.client.demanded) }
+
 // applyOwn applies a state to this relay's own node.
 func (r *relayer) applyOwn(state differ.State) {
 	if state.Version() < r.client.state.Version() {
@@ -232,7 +239,7 @@
 // publish hands the state to the data path unless it is older than what the node must not go below.
 func (r *relayer) publish() {
 	f := &r.floor
-	s := r.client.state
+	s := r.own()
 	if !f.known || s.Version() == 0 || s.Version() < f.value || s.Version() < f.published {
 		return
 	}
