--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -261,15 +261,11 @@
 	}
 	c.demanded = append(slices.Clone(c.demanded), service)
 	slices.Sort(c.demanded)
-<<<<<<< HEAD
 	clear(c.told)
-	if r.seat < 0 && len(c.relays) > 0 {
-=======
 	switch {
 	case r.seat >= 0:
 		r.publish()
 	case len(c.relays) > 0:
->>>>>>> oracle
 		r.subscribe(0, true)
 	}
 }
