--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -42,6 +42,7 @@
 	refusedLate      = "late"
 	refusedDown      = "down"
 	refusedMisrouted = "misrouted"
+	refusedPoison    = "poison"
 )
 
 // How long an endpoint that refused is avoided if there are others; one that is leaving gets no call at all.
@@ -137,6 +138,9 @@
 		if n.Ran() != answer.No || last.Ran() == answer.No {
 			last = n
 		}
+		if n.Reason() == refusedPoison && n.Ran() == answer.No {
+			break // All endpoints refuse it, and its caller must not use up the retry budget.
+		}
 		d := retrier.Next(attempt, n, f.Idempotent, own.Enough() && a.budget.Enough(), time.Until(deadline), a.random)
 		retried = retried || d.Exhausted()
 		if !d.Retry() {
--- a/mesh/dispatcher/dispatcher.go
+++ b/mesh/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/event"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/guard"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/limiter"
 	"wisteriaspoke.example/mesh/machine"
@@ -51,12 +52,33 @@
 	Inject(event.Event)
 }
 
+// gate decides which calls may run, and learns how they end. A call's number is 0 if it needs no special care.
+type gate interface {
+	// Enter waits until the call may run and returns its number, or the reason of a refusal. End must follow a number.
+	Enter(ctx context.Context, c call.Call) (id uint64, reason string)
+	// Send is called right before the call is sent; it returns what End needs, or the reason of a refusal.
+	Send(id uint64, c call.Call) (epoch uint64, reason string)
+	// End may wait before the answer to a call that was in flight in a crash is given, within ctx.
+	End(ctx context.Context, id, epoch uint64, c call.Call, e guard.Ending)
+	// Ready returns why calls should not come here yet, or nil.
+	Ready() error
+}
+
+// ungated lets all calls run, in programs without a gate.
+type ungated struct{}
+
+func (ungated) Enter(context.Context, call.Call) (uint64, string)            { return 0, "" }
+func (ungated) Send(uint64, call.Call) (uint64, string)                      { return 0, "" }
+func (ungated) End(context.Context, uint64, uint64, call.Call, guard.Ending) {}
+func (ungated) Ready() error                                                 { return nil }
+
 // Dispatcher runs the calls that are sent to this node's endpoint.
 type Dispatcher struct {
 	Upstream string `help:"URL of the local upstream; empty if there is none." placeholder:"URL" env:"WISTERIASPOKE_UPSTREAM"`
 
 	log      *slog.Logger
 	injector injector
+	gate     gate
 	service  string
 	version  string
 	limiter  *limiter.Limiter
@@ -109,6 +131,9 @@
 	if d.injector, err = kernel.Need[injector](k); err != nil {
 		return nil, err
 	}
+	if gs := kernel.All[gate](k); len(gs) > 0 {
+		d.gate = gs[0]
+	}
 	if err := d.prepare(c); err != nil {
 		return nil, err
 	}
@@ -126,6 +151,9 @@
 		return err
 	}
 	d.origin = netip.MustParseAddrPort(d.address).Addr()
+	if d.gate == nil {
+		d.gate = ungated{}
+	}
 	d.service = c.Service
 	d.version = c.Version
 	d.limiter = limiter.New(c.Slots)
@@ -142,13 +170,29 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Left())*time.Millisecond)
 	defer cancel()
+	id, reason := d.gate.Enter(ctx, c)
+	if reason != "" {
+		return d.refuse(http.StatusServiceUnavailable, reason)
+	}
+	a, epoch, e := d.run(ctx, id, c)
+	d.gate.End(ctx, id, epoch, c, e)
+	return a
+}
+
+// run waits for a slot and runs the call, and returns how it ended and the gate's epoch of its sending.
+func (d *Dispatcher) run(ctx context.Context, id uint64, c call.Call) (answer.Answer, uint64, guard.Ending) {
 	deadline, _ := ctx.Deadline()
 	switch r := d.limiter.Enter(ctx, limiter.Request{Route: c.Route(), Tenant: c.Tenant(), Class: c.Class(), Deadline: deadline}); r {
 	case "":
 	case limiter.Crowded:
-		return d.refuse(http.StatusTooManyRequests, string(limiter.Full))
+		return d.refuse(http.StatusTooManyRequests, string(limiter.Full)), 0, guard.Unsent
 	default:
-		return d.refuse(http.StatusServiceUnavailable, string(r))
+		return d.refuse(http.StatusServiceUnavailable, string(r)), 0, guard.Unsent
+	}
+	epoch, reason := d.gate.Send(id, c)
+	if reason != "" {
+		d.limiter.Exit(c.Route(), 0, false)
+		return d.refuse(http.StatusServiceUnavailable, reason), 0, guard.Unsent
 	}
 	start := time.Now()
 	f, err := d.client.do(ctx, c)
@@ -160,10 +204,22 @@
 	}
 	d.limiter.Exit(c.Route(), took, measured)
 	if err != nil {
-		return d.failed(ctx, err)
+		a := d.failed(ctx, err)
+		return a, epoch, ending(a)
 	}
 	f.Ran = answer.Yes
-	return d.loaded(f)
+	return d.loaded(f), epoch, guard.Whole
+}
+
+// ending returns what a failure means for the gate.
+func ending(a answer.Answer) guard.Ending {
+	switch {
+	case a.Ran() == answer.No:
+		return guard.Unsent
+	case a.Reason() == reasonCrashed:
+		return guard.Crashed
+	}
+	return guard.Broken
 }
 
 func (d *Dispatcher) refuse(status int, reason string) answer.Answer {
--- a/mesh/dispatcher/watch.go
+++ b/mesh/dispatcher/watch.go
@@ -41,6 +41,8 @@
 func (d *Dispatcher) check(missed int) int {
 	err := d.connect()
 	switch {
+	case err == nil && d.gate.Ready() != nil:
+		return 0
 	case err == nil:
 		d.become(endpoint.Ready)
 		return 0
--- /dev/null
+++ b/mesh/isolator/machine.go
@@ -0,0 +1,25 @@
+package isolator
+
+import (
+	"time"
+
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/roster"
+)
+
+func init() {
+	machine.Register("guard", 90, func(machine.Config) machine.Machine { return tap{} })
+}
+
+// tap hands the view of the relays, which the control machines share among themselves, to the data path.
+type tap struct{}
+
+// Step publishes each new roster.
+func (tap) Step(_ time.Time, e event.Event) []effect.Effect {
+	if r, ok := e.Value().(roster.Roster); ok && e.Kind() == event.Local {
+		return []effect.Effect{effect.NewPublish(r)}
+	}
+	return nil
+}
