--- /dev/null
+++ b/mesh/guard/scenario/scenario_test.go
@@ -0,0 +1,81 @@
+package scenario
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// check returns what is wrong with the result of an attack by one bad call.
+func check(r Result) error {
+	switch {
+	case r.Crashes > 2:
+		return fmt.Errorf("one bad call crashed %d upstreams", r.Crashes)
+	case r.Ended != r.Innocent:
+		return fmt.Errorf("%d of %d innocent calls have run", r.Ended, r.Innocent)
+	case r.Left > 0:
+		return fmt.Errorf("%d marks of innocent calls are left", r.Left)
+	}
+	return nil
+}
+
+func drawShape(t *rapid.T) Shape {
+	return Shape{
+		Regions: rapid.IntRange(1, 3).Draw(t, "regions"), Centres: rapid.IntRange(1, 2).Draw(t, "centres"),
+		Nodes:    rapid.IntRange(1, 4).Draw(t, "nodes"),
+		Late:     time.Duration(rapid.SampledFrom([]int{0, 30, 300, 900}).Draw(t, "late")) * time.Millisecond,
+		Repeated: rapid.SampledFrom([]int{0, 20}).Draw(t, "repeated"),
+	}
+}
+
+func drawAttack(t *rapid.T) Attack {
+	return Attack{
+		Resends: rapid.IntRange(1, 100).Draw(t, "resends"), Callers: rapid.IntRange(1, 4).Draw(t, "callers"),
+		Innocents: rapid.IntRange(1, 1000).Draw(t, "innocents"), Names: rapid.IntRange(1, 300).Draw(t, "names"),
+		Span: time.Duration(rapid.IntRange(1, 4).Draw(t, "span")) * time.Second,
+	}
+}
+
+// TestAttack guards against a bad call that crashes a third upstream while marks are late or repeated, and against
+// innocent calls that do not run in the end or stay marked.
+func TestAttack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New(rapid.Uint64().Draw(t, "seed"), drawShape(t))
+		r := drawAttack(t).Run(m, 30*time.Second)
+		if err := check(r); err != nil {
+			t.Fatalf("%v: %+v", err, r)
+		}
+	})
+}
+
+// TestPlanted guards against a check that passes whatever the guard does: each planted fault must be found.
+func TestPlanted(t *testing.T) {
+	attack := Attack{Resends: 100, Callers: 1, Innocents: 1000, Names: 100, Span: 2 * time.Second}
+	base := Shape{Regions: 3, Centres: 2, Nodes: 3, Late: 300 * time.Millisecond}
+	cases := map[string]func(*Shape){
+		"unguarded": func(s *Shape) { s.Unguarded = true },
+		"hasty":     func(s *Shape) { s.Hasty = true },
+		"twice":     func(s *Shape) { s.Twice = true },
+		"keep":      func(s *Shape) { s.Keep = true },
+	}
+	for name, plant := range cases {
+		t.Run(name, func(t *testing.T) {
+			found := 0
+			for seed := range uint64(5) {
+				s := base
+				plant(&s)
+				if r := attack.Run(New(seed, s), 30*time.Second); check(r) != nil {
+					found++
+				}
+			}
+			if found == 0 {
+				t.Error("the fault was not found")
+			}
+		})
+	}
+	if r := attack.Run(New(1, base), 30*time.Second); check(r) != nil {
+		t.Errorf("without a fault: %v: %+v", check(r), r)
+	}
+}
