--- a/bench/main.go
+++ b/bench/main.go
@@ -9,6 +9,7 @@
 
 	_ "wisteriaspoke.example/bench/calls"
 	_ "wisteriaspoke.example/bench/distribution"
+	_ "wisteriaspoke.example/bench/membership"
 	_ "wisteriaspoke.example/bench/rollouts"
 	"wisteriaspoke.example/bench/reporter"
 )
