--- a/bench/main.go
+++ b/bench/main.go
@@ -10,8 +10,8 @@
 	_ "wisteriaspoke.example/bench/calls"
 	_ "wisteriaspoke.example/bench/distribution"
 	_ "wisteriaspoke.example/bench/membership"
-	_ "wisteriaspoke.example/bench/rollouts"
 	"wisteriaspoke.example/bench/reporter"
+	_ "wisteriaspoke.example/bench/rollouts"
 )
 
 type settings struct {
