roller: back off while the store fails

Cause: in an outage each gateway tried every lease each 400 to 800 ms and each holder its write every 200 ms; with many rollouts at once that holds up a store that recovers. Pauses now double, up to 3 s for a lease that is not held and 2 s for a write.

Ruled out: backing off while the lease is held; three failed renewals would then lose it.

--- a/mesh/roller/change.go
+++ b/mesh/roller/change.go
@@ -13,8 +13,11 @@
 	"wisteriaspoke.example/mesh/share"
 )
 
-// writePause is the time before a failed write is looked at again.
-const writePause = 200 * time.Millisecond
+// Pauses before a failed write is looked at again; they double with each failure.
+const (
+	writePause    = 200 * time.Millisecond
+	maxWritePause = 2 * time.Second
+)
 
 // change is one change of a rollout on its way into the store: first the share in the head, then the rollout object.
 // Each write is preceded by a read, which also shows whether an earlier write with a lost answer took effect.
@@ -56,10 +59,12 @@
 	}
 	if e.Err() != nil {
 		if fault.KindOf(e.Err()) != fault.Conflict {
-			j.next = now.Add(writePause)
+			j.failed++
+			j.next = now.Add(backOff(writePause, maxWritePause, j.failed))
 		}
 		return nil
 	}
+	j.failed = 0
 	if j.urgent() {
 		j.change = nil
 		return nil
--- a/mesh/roller/job.go
+++ b/mesh/roller/job.go
@@ -60,6 +60,7 @@
 	pending  string
 	sent     time.Time
 	next     time.Time
+	failed   int // requests in a row
 	serial   serial
 }
 
--- a/mesh/roller/lease.go
+++ b/mesh/roller/lease.go
@@ -18,6 +18,9 @@
 	raceDelay = 400 * time.Millisecond
 	// retryPause is the time before a failed lease request is repeated, short enough for several tries in one lease.
 	retryPause = 400 * time.Millisecond
+	// maxPause bounds the pause of a node that does not hold the lease; it doubles with each failure, so that all
+	// gateways and rollouts together do not hold up a store that recovers.
+	maxPause = 3 * time.Second
 	// answerLimit is when an answer is given up; the driver ends requests after 2 s.
 	answerLimit = 5 * time.Second
 )
@@ -45,6 +48,7 @@
 	pending string
 	sent    time.Time
 	next    time.Time
+	failed  int // requests in a row
 	serial  serial
 }
 
@@ -129,9 +133,10 @@
 		return nil
 	case e.Err() != nil:
 		l.stale = true
-		l.next = now.Add(retryPause + time.Duration(l.view.node.Rand.Int64N(int64(raceDelay))))
+		l.next = now.Add(l.pause() + time.Duration(l.view.node.Rand.Int64N(int64(raceDelay))))
 		return nil
 	}
+	l.failed = 0
 	l.note(now, e.Object())
 	l.stale = false
 	if l.standsFor(now) {
@@ -147,6 +152,25 @@
 	return l.contend(now)
 }
 
+// pause returns the time until the next try after a failure.
+func (l *lease) pause() time.Duration {
+	if l.held {
+		return retryPause
+	}
+	l.failed++
+	return backOff(retryPause, maxPause, l.failed)
+}
+
+// backOff doubles the first pause with each failure in a row.
+func backOff(first, most time.Duration, failed int) time.Duration {
+	for range failed - 1 {
+		if first *= 2; first >= most {
+			return most
+		}
+	}
+	return first
+}
+
 // standsFor reports whether the lease as read is this node's last write and has not expired. Both times are compared on
 // this node's monotonic clock; the time in the store only identifies the write.
 func (l *lease) standsFor(now time.Time) bool {
