publisher: take departures spread under the same epoch and sequence

Cause: when the owner of a data centre is dead, the second relay marks the leaving endpoint within the set that stands; the publisher took newer sets only, so calls went on until a new owner took over. Ruled out: a new sequence, which two relays could give to different sets. Change: equal order merges departures only, so nothing comes back. Measured: TestDeparture failed before (a is ready) and passes.

--- a/mesh/publisher/publisher.go
+++ b/mesh/publisher/publisher.go
@@ -126,13 +126,32 @@
 		p.groups[g.Service()] = centres
 	}
 	old, known := centres[g.DataCentre()]
-	if known && !g.Replaces(old) {
+	switch {
+	case !known || g.Replaces(old):
+	case old.Replaces(g):
 		return
+	default:
+		g = depart(old, g)
 	}
 	centres[g.DataCentre()] = g
 	p.rebuild(g.Service())
 }
 
+// depart returns the set that stands with the endpoints that next, of the same epoch and sequence, says are leaving. An
+// endpoint that left does not come back in the same incarnation.
+func depart(standing, next group.Group) group.Group {
+	es := slices.Clone(standing.Endpoints())
+	for i, e := range es {
+		leaves := slices.ContainsFunc(next.Endpoints(), func(n endpoint.Endpoint) bool {
+			return n.Address() == e.Address() && n.Incarnation() == e.Incarnation() && n.State() == endpoint.Leaving
+		})
+		if leaves {
+			es[i] = e.WithState(endpoint.Leaving)
+		}
+	}
+	return group.New(standing.DataCentre(), standing.Service(), standing.Epoch(), standing.Sequence(), es)
+}
+
 func (p *Publisher) publishVerdict(v verdict.Verdict) {
 	for _, k := range p.verdicts[v.Service()] {
 		if k.Rollout() == v.Rollout() && k.Version() == v.Version() {
--- a/mesh/publisher/publisher_test.go
+++ b/mesh/publisher/publisher_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -119,6 +120,23 @@
 	}
 }
 
+// TestDeparture guards against calls to an endpoint that left while its data centre had no owner: the second relay then
+// spreads the departure within the set that stands, under the same epoch and sequence.
+func TestDeparture(t *testing.T) {
+	p := newPublisher()
+	p.Publish(configuration(t, 1, share.Share{}, "meldung"))
+	p.Publish(endpoints("obb-a", 2, 5, "a", "b"))
+	es := slices.Clone(endpoints("obb-a", 2, 5, "a", "b").Endpoints())
+	es[0] = es[0].WithState(endpoint.Leaving)
+	p.Publish(group.New("obb-a", "meldung", 2, 5, es))
+	p.Publish(endpoints("obb-a", 2, 5, "a", "b"))
+	for _, m := range p.Snapshot().Pool("meldung").Stable().Members() {
+		if m.Address() == "a" && m.Endpoint().State() != endpoint.Leaving {
+			t.Errorf("%s is %s, want leaving", m.Address(), m.Endpoint().State())
+		}
+	}
+}
+
 // TestVerdicts guards against calls to a bad version, whichever of the verdict and the configuration comes first, and
 // against a verdict that outlives its rollout.
 func TestVerdicts(t *testing.T) {
