--- a/bench/reporter/reporter.go
+++ b/bench/reporter/reporter.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
+	"unicode"
 )
 
 // Emit takes one figure: value is ours, baseline that of the naive version named by against in the same run, bound the
@@ -51,6 +53,13 @@
 	return names
 }
 
+// identifier returns the name in lower-case words joined by underscores.
+func identifier(name string) string {
+	return strings.Join(strings.FieldsFunc(strings.ToLower(name), func(r rune) bool {
+		return !unicode.IsLetter(r) && !unicode.IsDigit(r)
+	}), "_")
+}
+
 // Run prints the figures of the named measurements, or of all if only is empty, and returns the first write error.
 func Run(w io.Writer, only []string) error {
 	encoder := json.NewEncoder(w)
@@ -60,7 +69,7 @@
 			continue
 		}
 		r.measure(func(name string, value float64, unit string, baseline float64, against string, size int, seed uint64, bound float64, better string) {
-			f := figure{Name: name, Value: value, Unit: unit, Baseline: baseline, Against: against, Size: size, Seed: seed, Bound: bound, Better: better}
+			f := figure{Name: identifier(name), Value: value, Unit: unit, Baseline: baseline, Against: against, Size: size, Seed: seed, Bound: bound, Better: better}
 			if err := encoder.Encode(f); err != nil && failure == nil {
 				failure = err
 			}
