--- a/mesh/relayer/policy_test.go
+++ b/mesh/relayer/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -141,30 +142,20 @@
 // TestSubscription guards against services that a node gets without need, and demanded ones that it does not get.
 func TestSubscription(t *testing.T) {
 	eachSeed(t, func(t *testing.T, f *fleet) {
+		node := f.client()
+		own := f.sim.Config(node).Service
+		others := slices.DeleteFunc(slices.Clone(services), func(s string) bool { return s == own })
 		f.accept(func(parts map[string]string) {
-			parts["startlisten"] = f.part(`{"name":"startlisten","version":"9","depends":["meldung"]}`)
+			parts[own] = f.part(fmt.Sprintf(`{"name":%q,"version":"9","depends":[%q]}`, own, others[0]))
 		})
 		f.converge(2 * time.Second)
-		node := ""
-		for _, n := range f.sim.Nodes() {
-			relay := false
-			for i := range seatCount {
-				relay = relay || f.holder(f.sim.Config(n).DataCentre, i) == n
-			}
-			if f.sim.Config(n).Service == "startlisten" && !relay {
-				node = n
-			}
-		}
-		if node == "" {
-			t.Fatal("all nodes of startlisten are relays with this seed; choose another")
-		}
 		// The relay's delta removes what the node no longer needs.
 		if got := len(f.forced[node].Services()); got != 2 {
 			t.Errorf("%s has %d services, want 2", node, got)
 		}
-		f.sim.Inject(node, event.NewLocal(event.Demand, "ergebnis"))
+		f.sim.Inject(node, event.NewLocal(event.Demand, others[1]))
 		f.sim.Run(100 * time.Millisecond)
-		if _, ok := f.forced[node].Services()["ergebnis"]; !ok {
+		if _, ok := f.forced[node].Services()[others[1]]; !ok {
 			t.Errorf("%s did not get the demanded service", node)
 		}
 		f.accept(nil)
@@ -172,6 +163,19 @@
 	})
 }
 
+// client returns a node that is no relay.
+func (f *fleet) client() string {
+	f.t.Helper()
+	for _, n := range f.sim.Nodes() {
+		dc := f.sim.Config(n).DataCentre
+		if f.holder(dc, 0) != n && f.holder(dc, 1) != n {
+			return n
+		}
+	}
+	f.t.Fatal("all nodes are relays")
+	return ""
+}
+
 // watcher is a machine that notes who thinks that it owns a data centre's endpoint sets.
 type watcher struct {
 	node   string
