--- a/mesh/oracle/fleet.go
+++ b/mesh/oracle/fleet.go
@@ -1,6 +1,7 @@
 package oracle
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -44,8 +45,8 @@
 type Fleet struct {
 	// Wrap replaces a machine of a node, for planted faults; nil is allowed.
 	Wrap func(machine.Config, machine.Machine) machine.Machine
-	// Filter replaces a value on its way to a node's publisher, or drops it by returning nil; nil is allowed.
-	Filter func(node string, value any) any
+	// Filter reports whether a value reaches its node's publisher, for planted faults; nil is allowed.
+	Filter func(value any) bool
 	// Forswear makes the store acknowledge operators' writes without effect.
 	Forswear bool
 
@@ -194,15 +195,14 @@
 }
 
 func (f *Fleet) published(now time.Time, address string, value any) {
-	if f.Filter != nil {
-		value = f.Filter(address, value)
-	}
 	f.promises.published(now, address, value)
 	n := f.nodes[address]
 	if c, ok := value.(config.Config); ok && c.Version() >= n.config.Version() {
 		n.config = c
 	}
-	n.publisher.Publish(value)
+	if f.Filter == nil || f.Filter(value) {
+		n.publisher.Publish(value)
+	}
 	f.promises.seen(address, n.publisher.Snapshot())
 }
 
@@ -226,11 +226,20 @@
 	f.stops = append(f.stops, begin(f.sim, o, func(a *accepter.Accepter) { run(a, writer) }))
 }
 
-// holder returns the address in a lease, or the empty string.
-func (f *Fleet) holder(lease string) string {
-	r, err := leaser.Decode(f.sim.Store().Object(leaser.Plural, lease))
-	if err != nil {
-		return ""
+// seat is what all kinds of leases say of their holder.
+type seat struct {
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+// lease returns who holds a lease; the zero seat if it does not stand.
+func (f *Fleet) lease(name string) seat {
+	var s seat
+	if o := f.sim.Store().Object(leaser.Plural, name); o.Revision() != "" {
+		must(json.Unmarshal(o.Spec(), &s))
 	}
-	return r.Holder()
+	return s
 }
+
+// holder returns the address in a lease, or the empty string.
+func (f *Fleet) holder(name string) string { return f.lease(name).Holder }
--- /dev/null
+++ b/mesh/oracle/planted_test.go
@@ -0,0 +1,312 @@
+package oracle
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/config"
+	"wisteriaspoke.example/mesh/effect"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/group"
+	"wisteriaspoke.example/mesh/head"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/object"
+	"wisteriaspoke.example/mesh/service"
+	"wisteriaspoke.example/mesh/share"
+	"wisteriaspoke.example/mesh/verdict"
+)
+
+// mostSeeds is how many seeds are tried before a planted fault counts as missed.
+const mostSeeds = 5
+
+// wrong is a machine whose events or effects are corrupted.
+type wrong struct {
+	machine machine.Machine
+	event   func(time.Time, event.Event) (event.Event, bool) // false drops it; nil is allowed
+	effect  func(time.Time, effect.Effect) []effect.Effect   // nil is allowed
+}
+
+// Step implements machine.Machine.
+func (w *wrong) Step(now time.Time, e event.Event) []effect.Effect {
+	if w.event != nil {
+		var ok bool
+		if e, ok = w.event(now, e); !ok {
+			return nil
+		}
+	}
+	fs := w.machine.Step(now, e)
+	if w.effect == nil {
+		return fs
+	}
+	var out []effect.Effect
+	for _, f := range fs {
+		out = append(out, w.effect(now, f)...)
+	}
+	return out
+}
+
+// only wraps the machines of one package.
+func only(name string, wrap func(machine.Config, machine.Machine) machine.Machine) func(*Fleet) {
+	return func(f *Fleet) {
+		f.Wrap = func(c machine.Config, m machine.Machine) machine.Machine {
+			if strings.HasPrefix(fmt.Sprintf("%T", m), "*"+name+".") {
+				return wrap(c, m)
+			}
+			return m
+		}
+	}
+}
+
+// configs corrupts each configuration that the relayer hands over.
+func configs(corrupt func(c config.Config) []config.Config) func(*Fleet) {
+	return only("relayer", func(_ machine.Config, m machine.Machine) machine.Machine {
+		return &wrong{machine: m, effect: func(_ time.Time, f effect.Effect) []effect.Effect {
+			c, ok := f.Value().(config.Config)
+			if f.Kind() != effect.Publish || !ok {
+				return []effect.Effect{f}
+			}
+			var fs []effect.Effect
+			for _, c := range corrupt(c) {
+				fs = append(fs, effect.NewPublish(c))
+			}
+			return fs
+		}}
+	})
+}
+
+// groups corrupts each set that the registrar hands over.
+func groups(corrupt func(g group.Group) (group.Group, bool)) func(*Fleet) {
+	return only("registrar", func(_ machine.Config, m machine.Machine) machine.Machine {
+		return &wrong{machine: m, effect: func(_ time.Time, f effect.Effect) []effect.Effect {
+			g, ok := f.Value().(group.Group)
+			if f.Kind() != effect.Publish || !ok {
+				return []effect.Effect{f}
+			}
+			if g, ok = corrupt(g); !ok {
+				return nil
+			}
+			return []effect.Effect{effect.NewPublish(g)}
+		}}
+	})
+}
+
+// shares corrupts the split that the roller writes into the head.
+func shares(corrupt func(s share.Share) share.Share) func(*Fleet) {
+	return only("roller", func(_ machine.Config, m machine.Machine) machine.Machine {
+		return &wrong{machine: m, effect: func(_ time.Time, f effect.Effect) []effect.Effect {
+			if f.Kind() != effect.Update || f.Object().Plural() != head.Plural {
+				return []effect.Effect{f}
+			}
+			return []effect.Effect{effect.NewStore(f.Kind(), f.ID(), withShares(f.Object(), corrupt))}
+		}}
+	})
+}
+
+// withShares returns a head with corrupted splits and the same version.
+func withShares(o object.Object, corrupt func(s share.Share) share.Share) object.Object {
+	h, err := head.Decode(o)
+	must(err)
+	version := fmt.Sprintf(`"version":%d,`, h.Version())
+	for name, s := range h.Shares() {
+		h = h.WithShare(name, corrupt(s), h.Token(), h.Writer())
+	}
+	spec, err := h.Encode()
+	must(err)
+	at := bytes.Index(spec, []byte(`"version":`))
+	end := at + bytes.IndexByte(spec[at:], ',') + 1
+	return o.WithSpec(slices.Concat(spec[:at], []byte(version), spec[end:]))
+}
+
+func without(c config.Config, name string) config.Config {
+	services := map[string]service.Service{}
+	for n, s := range c.Services() {
+		if n != name {
+			services[n] = s
+		}
+	}
+	return config.New(c.Version(), c.Preset(), services, c.Shares())
+}
+
+// Plans that bring the planted faults to light.
+var (
+	presetsPlan = []Action{{Use, 1, 3000}, {Use, 2, 3000}, {Use, 0, 3000}}
+	restartPlan = []Action{{Use, 1, 3000}, {KillHalf, 0, 500}, {Restart, 0, 5000}}
+	leavePlan   = []Action{{Leave, 3, 500}, {Leave, 5, 5000}}
+	badPlan     = []Action{{MoveBad, 0, 1500}, {StoreOut, 0, 20000}, {StoreIn, 0, 5000}}
+	goodPlan    = []Action{{MoveGood, 0, 30000}}
+	pausePlan   = []Action{{MoveGood, 0, 12000}, {FreezeMove, 0, 6000}, {Thaw, 0, 20000}}
+)
+
+// planted are faults that the oracle must find, each with the promise that it breaks.
+var planted = []struct {
+	name    string
+	promise string
+	plan    []Action
+	plant   func(*Fleet)
+}{
+	{"relayer applies out of order", "P1", presetsPlan, configs(func() func(config.Config) []config.Config {
+		var first config.Config
+		return func(c config.Config) []config.Config {
+			if first.Version() == 0 {
+				first = c
+			}
+			return []config.Config{c, first}
+		}
+	}())},
+	{"relayer skips the floor after a restart", "P1", restartPlan, func(f *Fleet) {
+		first := map[string]config.Config{}
+		only("relayer", func(n machine.Config, m machine.Machine) machine.Machine {
+			old, restarted := first[n.Node]
+			return &wrong{machine: m, effect: func(_ time.Time, e effect.Effect) []effect.Effect {
+				c, ok := e.Value().(config.Config)
+				if e.Kind() != effect.Publish || !ok {
+					return []effect.Effect{e}
+				}
+				if !restarted {
+					restarted = true
+					if _, known := first[n.Node]; !known {
+						first[n.Node] = c
+					}
+					return []effect.Effect{e}
+				}
+				if old.Version() > 0 {
+					stale := old
+					old = config.Config{}
+					return []effect.Effect{effect.NewPublish(stale), e}
+				}
+				return []effect.Effect{e}
+			}}
+		})(f)
+	}},
+	{"relayer files a definition under another name", "P2", presetsPlan, configs(func(c config.Config) []config.Config {
+		all := map[string]service.Service{}
+		for n, s := range c.Services() {
+			all[n+"x"] = s
+		}
+		return []config.Config{config.New(c.Version(), c.Preset(), all, c.Shares())}
+	})},
+	{"relayer applies a part of a version", "P3", presetsPlan, configs(func(c config.Config) []config.Config {
+		return []config.Config{without(c, mover)}
+	})},
+	{"relayer mixes definitions of two versions", "P3", presetsPlan, configs(func() func(config.Config) []config.Config {
+		var old service.Service
+		return func(c config.Config) []config.Config {
+			all := map[string]service.Service{}
+			for n, s := range c.Services() {
+				all[n] = s
+			}
+			if old.Name() != "" {
+				all[mover] = old
+			}
+			old = c.Services()[mover]
+			return []config.Config{config.New(c.Version(), c.Preset(), all, c.Shares())}
+		}
+	}())},
+	{"relayer drops the shares of a version", "P3", goodPlan, configs(func(c config.Config) []config.Config {
+		return []config.Config{config.New(c.Version(), c.Preset(), c.Services(), nil)}
+	})},
+	{"publisher drops a verdict", "P4", badPlan, func(f *Fleet) {
+		f.Filter = func(value any) bool { return !isVerdict(value) }
+	}},
+	{"roller starts with half of all calls", "P4", goodPlan, shares(func(s share.Share) share.Share {
+		if s.Candidate() == "" {
+			return s
+		}
+		return share.New(s.Stable(), s.Candidate(), 500, s.Rollout(), s.Epoch())
+	})},
+	// One write is enough: the other holders then correct the share against each other for as long as it goes on.
+	{"roller forgets the epoch", "P4", pausePlan, shares(func() func(share.Share) share.Share {
+		done := false
+		return func(s share.Share) share.Share {
+			if done || s.Epoch() < 2 {
+				return s
+			}
+			done = true
+			return share.New(s.Stable(), s.Candidate(), s.Permille(), s.Rollout(), s.Epoch()-1)
+		}
+	}())},
+	{"roller writes a share without a head before it", "P10", goodPlan, only("roller", func(_ machine.Config, m machine.Machine) machine.Machine {
+		return &wrong{machine: m, effect: func(_ time.Time, f effect.Effect) []effect.Effect {
+			if f.Kind() != effect.Update || f.Object().Plural() != head.Plural {
+				return []effect.Effect{f}
+			}
+			spec := bytes.Replace(f.Object().Spec(), []byte(`"version":`), []byte(`"version":1`), 1)
+			return []effect.Effect{effect.NewStore(f.Kind(), f.ID(), f.Object().WithSpec(spec))}
+		}}
+	})},
+	{"registrar ignores that its upstream leaves", "P8", leavePlan, only("registrar", func(_ machine.Config, m machine.Machine) machine.Machine {
+		return &wrong{machine: m, event: func(_ time.Time, e event.Event) (event.Event, bool) {
+			return e, e.Value() != endpoint.Leaving
+		}}
+	})},
+	{"registrar hands over a leaving upstream as ready", "P8", leavePlan, groups(func(g group.Group) (group.Group, bool) {
+		var es []endpoint.Endpoint
+		for _, e := range g.Endpoints() {
+			es = append(es, e.WithState(endpoint.Ready))
+		}
+		return group.New(g.DataCentre(), g.Service(), g.Epoch(), g.Sequence(), es), true
+	})},
+	{"registrar keeps the first sets", "sets", restartPlan, groups(func() func(group.Group) (group.Group, bool) {
+		count := 0
+		return func(g group.Group) (group.Group, bool) {
+			count++
+			return g, count < 400
+		}
+	}())},
+	{"relayer hands over nothing after the first version", "P10", presetsPlan, configs(func(c config.Config) []config.Config {
+		if c.Version() > 1 {
+			return nil
+		}
+		return []config.Config{c}
+	})},
+	{"relayer puts another preset in force", "P10", presetsPlan, configs(func(c config.Config) []config.Config {
+		return []config.Config{config.New(c.Version(), "ordinary", c.Services(), c.Shares())}
+	})},
+	{"store acknowledges a write without effect", "P10", presetsPlan, func(f *Fleet) { f.Forswear = true }},
+}
+
+// Guards against an oracle that cannot fail: each planted fault must be found, and nothing without it.
+func TestPlanted(t *testing.T) {
+	results := make([]string, len(planted))
+	t.Run("faults", func(t *testing.T) {
+		for i, p := range planted {
+			t.Run(p.name, func(t *testing.T) {
+				t.Parallel()
+				results[i] = fmt.Sprintf("%s: not found", p.name)
+				for seed := uint64(1); seed <= mostSeeds; seed++ {
+					f := New(seed)
+					p.plant(f)
+					found := f.Run(p.plan)
+					if slices.ContainsFunc(found, func(f Finding) bool { return f.Promise() == p.promise }) {
+						results[i] = fmt.Sprintf("%s: %s, seed %d", p.name, p.promise, seed)
+						t.Log(found[0])
+						return
+					}
+				}
+				t.Errorf("not found with %d seeds", mostSeeds)
+			})
+		}
+	})
+	goldie.New(t).Assert(t, "planted", []byte(strings.Join(results, "\n")+"\n"))
+}
+
+// Guards against plans that break a promise without a planted fault.
+func TestPlansWithoutFault(t *testing.T) {
+	for _, plan := range [][]Action{presetsPlan, restartPlan, leavePlan, badPlan, goodPlan, pausePlan} {
+		for _, f := range New(1).Run(plan) {
+			t.Errorf("%v: %v", plan, f)
+		}
+	}
+}
+
+func isVerdict(value any) bool {
+	_, ok := value.(verdict.Verdict)
+	return ok
+}
--- a/mesh/oracle/promises.go
+++ b/mesh/oracle/promises.go
@@ -131,12 +131,12 @@
 		p.fail("P10", "%s replaced preset %s by %s", h.Writer(), old.Preset(), h.Preset())
 	}
 	for name, s := range h.Shares() {
-		p.checkShare(name, old.Shares()[name], s)
+		p.checkShare(name, h.Writer(), old.Shares()[name], s)
 	}
 	p.expect(h)
 }
 
-func (p *promises) checkShare(service string, old, s share.Share) {
+func (p *promises) checkShare(service, writer string, old, s share.Share) {
 	if s == old {
 		return
 	}
@@ -146,8 +146,12 @@
 	if s.Rollout() != old.Rollout() && s.Permille() > firstShare {
 		p.fail("P4", "the first share of %s in rollout %s is %d", service, s.Rollout(), s.Permille())
 	}
+	grown := s.Permille() > old.Permille() || s.Rollout() != old.Rollout() && s.Permille() > 0
+	if l := p.fleet.lease("roller-" + service); grown && (l.Holder != writer || l.Epoch != s.Epoch()) {
+		p.fail("P4", "%s grew the share of %s to %d under epoch %d; %s holds the lease under epoch %d",
+			writer, service, s.Permille(), s.Epoch(), l.Holder, l.Epoch)
+	}
 	r, judged := p.rulings[s.Rollout()]
-	grown := s.Rollout() == old.Rollout() && (s.Permille() > old.Permille() || s.Stable() == r.verdict.Version())
 	if judged && grown && p.late(r.at, growBound) {
 		p.fail("P4", "the share of %s %s grew to %d after the verdict", service, r.verdict.Version(), s.Permille())
 	}
