--- /dev/null
+++ b/bench/crashes/crashes.go
@@ -0,0 +1,74 @@
+package crashes
+
+import (
+	"time"
+
+	"wisteriaspoke.example/bench/reporter"
+	"wisteriaspoke.example/mesh/guard/scenario"
+)
+
+func init() { reporter.Register("crashes", 60, Measure) }
+
+// Bounds of docs/design.md and of the crash guard.
+const (
+	crashBound   = 2.0
+	refusedBound = 0.0 // per cent after the third try
+)
+
+const (
+	seeds   = 5
+	resends = 100
+	// perNode is the number of innocent calls for each node, over the span.
+	perNode = 200
+	span    = 4 * time.Second
+	rest    = 10 * time.Second
+)
+
+// sizes are the meshes measured; regions have two data centres each.
+var sizes = []struct{ regions, nodes int }{{3, 1}, {3, 3}, {5, 10}}
+
+// figures are the worst of several seeds.
+type figures struct {
+	crashes float64
+	refused float64 // per cent of innocent calls
+	wait    float64 // milliseconds until an innocent call has run
+	seed    uint64  // with the most crashes
+}
+
+// Measure emits the crashes by one bad request that is resent through all nodes, and what innocent calls lose by it.
+func Measure(emit reporter.Emit) {
+	for _, s := range sizes {
+		size := s.regions * 2 * s.nodes
+		shape := scenario.Shape{Regions: s.regions, Centres: 2, Nodes: s.nodes, Unguarded: true}
+		without := worst(shape, size) // and without marks that could be late
+		shape.Unguarded = false
+		for _, c := range []struct {
+			name string
+			late time.Duration // on each of three hops
+		}{{"", 0}, {"_late", 900 * time.Millisecond}} {
+			shape.Late = c.late
+			with := worst(shape, size)
+			emit("crashes"+c.name, with.crashes, "crashes", without.crashes, "none", size, with.seed, crashBound, "lower")
+			emit("crashes"+c.name+"_refused", with.refused, "percent", without.refused, "none", size, with.seed, refusedBound, "lower")
+			emit("crashes"+c.name+"_wait", with.wait, "ms", without.wait, "none", size, with.seed, 0, "lower")
+		}
+	}
+}
+
+func worst(s scenario.Shape, size int) figures {
+	var f figures
+	for seed := range uint64(seeds) {
+		a := scenario.Attack{
+			Culprits: 1, Resends: resends, Callers: 1, Innocents: perNode * size, Names: perNode * size / 2, Span: span,
+		}
+		r := a.Run(scenario.New(seed+1, s), rest)
+		// A call that has not run at the end counts as refused.
+		refused := 100 * float64(max(r.Refused, r.Innocent-r.Ended)) / float64(r.Innocent)
+		if n := float64(r.Crashes); n > f.crashes || seed == 0 {
+			f.crashes, f.seed = n, seed+1
+		}
+		f.refused = max(f.refused, refused)
+		f.wait = max(f.wait, float64(r.Worst.Milliseconds()))
+	}
+	return f
+}
