--- /dev/null
+++ b/bench/footprint/doc.go
@@ -0,0 +1,2 @@
+// Package footprint measures what a node's data path costs by the number of services and endpoints that it knows.
+package footprint
--- a/bench/main.go
+++ b/bench/main.go
@@ -7,7 +7,9 @@
 	"github.com/alecthomas/kong"
 
 	_ "wisteriaspoke.example/bench/calls"
+	_ "wisteriaspoke.example/bench/crashes"
 	_ "wisteriaspoke.example/bench/distribution"
+	_ "wisteriaspoke.example/bench/footprint"
 	_ "wisteriaspoke.example/bench/membership"
 	"wisteriaspoke.example/bench/reporter"
 	_ "wisteriaspoke.example/bench/rollouts"
--- a/node/main.go
+++ b/node/main.go
@@ -7,6 +7,7 @@
 	_ "wisteriaspoke.example/mesh/dispatcher"
 	_ "wisteriaspoke.example/mesh/driver"
 	_ "wisteriaspoke.example/mesh/identity"
+	_ "wisteriaspoke.example/mesh/isolator"
 	"wisteriaspoke.example/mesh/kernel"
 	_ "wisteriaspoke.example/mesh/linker"
 	_ "wisteriaspoke.example/mesh/meter"
