head: drop the shares of services that a preset does not have

Cause: shares outlive a change of preset, so that a rollout is not lost; a preset without the service left its share in the head, and nodes refuse a version whose share names a missing service. Measured: TestWithPreset failed before and passes.

--- a/mesh/head/head.go
+++ b/mesh/head/head.go
@@ -100,11 +100,17 @@
 	return n
 }
 
-// WithPreset returns the following version with another preset; shares of services stay as they are.
+// WithPreset returns the following version with another preset; shares stay as they are, so that a rollout is not lost,
+// except those of services that the preset does not have, as nodes refuse a share without its service.
 func (h Head) WithPreset(preset string, parts map[string]string, token, writer string) Head {
 	n := h.next(token, writer)
 	n.w.Preset = preset
 	n.w.Parts = maps.Clone(parts)
+	n.w.Shares = maps.Clone(h.w.Shares)
+	maps.DeleteFunc(n.w.Shares, func(service string, _ share.Share) bool {
+		_, stays := parts[service]
+		return !stays
+	})
 	return n
 }
 
