--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROGRAMS := node ctl objects stub load bench
 export GOTOOLCHAIN := local
 
-.PHONY: demo test bench build format lint fuzz
+.PHONY: demo test bench build format lint fuzz results capacity
 
 build:
 	@mkdir -p bin
@@ -25,5 +25,13 @@
 bench: build
 	@bin/wisteriaspoke-bench
 
+# Measures anew and makes the tables of docs/CAPACITY.md; takes some minutes.
+results: build
+	@bin/wisteriaspoke-bench >docs/results.jsonl
+
+capacity: build
+	@{ printf '# Figures for the capacity page\n\nMade by `make capacity` from docs/results.jsonl, which `make results` measures. Bold figures miss their bound.\n'; \
+	  bin/wisteriaspoke-bench --plan docs/results.jsonl; } >docs/capacity-figures.md
+
 fuzz:
 	@scripts/fuzz
--- a/bench/main.go
+++ b/bench/main.go
@@ -11,6 +11,7 @@
 	_ "wisteriaspoke.example/bench/distribution"
 	_ "wisteriaspoke.example/bench/footprint"
 	_ "wisteriaspoke.example/bench/membership"
+	"wisteriaspoke.example/bench/planner"
 	"wisteriaspoke.example/bench/reporter"
 	_ "wisteriaspoke.example/bench/rollouts"
 )
@@ -18,6 +19,7 @@
 type settings struct {
 	List bool     `help:"Print the names of the measurements and exit."`
 	Only []string `help:"Run only these measurements." placeholder:"NAME"`
+	Plan string   `help:"Print the capacity tables for a file of figures and exit." placeholder:"FILE"`
 }
 
 func main() {
@@ -29,8 +31,20 @@
 		}
 		return
 	}
-	if err := reporter.Run(os.Stdout, s.Only); err != nil {
+	if err := run(s); err != nil {
 		fmt.Fprintf(os.Stderr, "wisteriaspoke-bench: %v\n", err)
 		os.Exit(1)
 	}
 }
+
+func run(s settings) error {
+	if s.Plan == "" {
+		return reporter.Run(os.Stdout, s.Only)
+	}
+	results, err := os.Open(s.Plan)
+	if err != nil {
+		return err
+	}
+	defer results.Close()
+	return planner.Write(os.Stdout, results)
+}
