identity: hand machines the addresses of seeds without their data centres

node/processes, 'node restarts while the store is out': the node was not ready within 40 s, since its relayer asked 'obb-a=IP:PORT' for versions. Ruled out: a floor that waits for a majority, since no peer was asked at all. With bare addresses the test's node is ready; without an outage the leases in the store hid the fault.

--- a/mesh/identity/identity.go
+++ b/mesh/identity/identity.go
@@ -70,11 +70,16 @@
 // Start has nothing to run.
 func (i *Identity) Start(context.Context, *kernel.Kernel) (<-chan error, error) { return nil, nil }
 
-// Config returns what machines know of this node.
+// Config returns what machines know of this node. Its seeds are bare addresses, since machines send to them.
 func (i *Identity) Config() machine.Config {
+	seeds := make([]string, 0, len(i.Seeds))
+	for _, s := range i.Seeds {
+		_, address := SplitSeed(s)
+		seeds = append(seeds, address)
+	}
 	return machine.Config{
 		Node: i.Node, Incarnation: i.incarnation, DataCentre: i.DataCentre, Region: i.Region,
-		Service: i.Service, Version: i.Release, Slots: i.Slots, Seeds: i.Seeds,
+		Service: i.Service, Version: i.Release, Slots: i.Slots, Seeds: seeds,
 		Rand: rand.New(rand.NewPCG(i.incarnation, rand.Uint64())),
 	}
 }
--- /dev/null
+++ b/mesh/identity/identity_test.go
@@ -0,0 +1,15 @@
+package identity
+
+import (
+	"slices"
+	"testing"
+)
+
+// Guards against machines that send to a seed with its data centre in front, which reaches nobody.
+func TestConfigSeedsAreAddresses(t *testing.T) {
+	i := &Identity{Seeds: []string{"obb-a=10.0.0.1:7400", "swb-a=10.0.1.1:7400", "10.0.2.1:7400"}}
+	want := []string{"10.0.0.1:7400", "10.0.1.1:7400", "10.0.2.1:7400"}
+	if got := i.Config().Seeds; !slices.Equal(got, want) {
+		t.Errorf("got seeds %q, want %q", got, want)
+	}
+}
