--- a/mesh/oracle/mix_test.go
+++ b/mesh/oracle/mix_test.go
@@ -47,6 +47,7 @@
 
 // Guards against mixes of failures and operators' actions after which a promise is broken.
 func TestMix(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		r := runs.Draw(t, "run")
 		for _, f := range New(r.Seed).Run(r.Plan) {
@@ -57,6 +58,7 @@
 
 // Guards against an oracle that objects to a fleet without any failure.
 func TestQuiet(t *testing.T) {
+	t.Parallel()
 	for _, f := range New(1).Run([]Action{{Use, 1, 5000}, {Use, 2, 5000}, {MoveGood, 0, 70000}}) {
 		t.Error(f)
 	}
--- a/mesh/oracle/planted_test.go
+++ b/mesh/oracle/planted_test.go
@@ -274,6 +274,7 @@
 
 // Guards against an oracle that cannot fail: each planted fault must be found, and nothing without it.
 func TestPlanted(t *testing.T) {
+	t.Parallel()
 	results := make([]string, len(planted))
 	t.Run("faults", func(t *testing.T) {
 		for i, p := range planted {
@@ -299,6 +300,7 @@
 
 // Guards against plans that break a promise without a planted fault.
 func TestPlansWithoutFault(t *testing.T) {
+	t.Parallel()
 	for _, plan := range [][]Action{presetsPlan, restartPlan, leavePlan, badPlan, goodPlan, pausePlan} {
 		for _, f := range New(1).Run(plan) {
 			t.Errorf("%v: %v", plan, f)
--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -225,7 +225,9 @@
 
 // own returns the part of the state that this node subscribes to. A relay holds all services for other nodes, but its
 // registrar hands over only the endpoint sets of the node's own subscription.
-func (r *relayer) own() differ.State { return r.client.state.Filter(r.config.Service, r.client.demanded) }
+func (r *relayer) own() differ.State {
+	return r.client.state.Filter(r.config.Service, r.client.demanded)
+}
 
 // applyOwn applies a state to this relay's own node.
 func (r *relayer) applyOwn(state differ.State) {
--- a/node/processes/fleet_test.go
+++ b/node/processes/fleet_test.go
@@ -117,7 +117,7 @@
 func free(t *testing.T) string {
 	t.Helper()
 	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&127, pid&255, hosts.Add(1))
+	host := fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&63, pid&255, 1+hosts.Add(1)%250)
 	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		t.Fatal(err)
@@ -126,7 +126,7 @@
 	return l.Addr().String()
 }
 
-// newFleet starts a store and all nodes, puts the first preset in force and waits until every node is ready.
+// newFleet starts a store and all nodes, puts the first preset in force and waits until calls through every node succeed.
 func newFleet(t *testing.T, bin string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, bin: bin, storeAt: free(t)}
@@ -153,6 +153,8 @@
 	f.must(0, "presets", "apply", "../../examples/startlisten-peak.json")
 	f.must(0, "presets", "use", "startlisten")
 	f.allReady()
+	// A node is ready once it has a configuration; its endpoint sets may come a moment later.
+	f.answered()
 	return f
 }
 
--- a/node/processes/processes_test.go
+++ b/node/processes/processes_test.go
@@ -92,7 +92,6 @@
 
 // rollingRestart guards against calls that fail because a node is stopped as planned.
 func rollingRestart(t *testing.T, f *fleet) {
-	f.answered()
 	end := f.load()
 	for i, m := range f.members {
 		m.busy.Lock()
