--- a/bench/main.go
+++ b/bench/main.go
@@ -1,4 +1,3 @@
-// Command wisteriaspoke-bench prints the project's figures as JSON lines.
 package main
 
 import (
@@ -8,7 +7,12 @@
 	"github.com/alecthomas/kong"
 
 	_ "wisteriaspoke.example/bench/calls"
+	_ "wisteriaspoke.example/bench/crashes"
+	_ "wisteriaspoke.example/bench/distribution"
+	_ "wisteriaspoke.example/bench/footprint"
+	_ "wisteriaspoke.example/bench/membership"
 	"wisteriaspoke.example/bench/reporter"
+	_ "wisteriaspoke.example/bench/rollouts"
 )
 
 type settings struct {
--- a/mesh/roller/roller_test.go
+++ b/mesh/roller/roller_test.go
@@ -1,6 +1,7 @@
 package roller_test
 
 import (
+	"flag"
 	"fmt"
 	"strings"
 	"testing"
@@ -16,7 +17,7 @@
 var running = make(chan struct{}, 4)
 
 // seeds is the number of fixed seeds for each scenario.
-const seeds = 3
+var seeds = flag.Uint64("seeds", defaultSeeds, "fixed seeds for each scenario")
 
 const (
 	comfortable = 120 * time.Second
@@ -79,7 +80,7 @@
 }
 
 func (s scenario) runAll(t *testing.T, check func(*testing.T, trial.Report)) {
-	for seed := uint64(1); seed <= seeds; seed++ {
+	for seed := uint64(1); seed <= *seeds; seed++ {
 		t.Run(fmt.Sprintf("%s/%d", s.name, seed), func(t *testing.T) {
 			t.Parallel()
 			r := s.run(t, seed)
@@ -323,6 +324,19 @@
 	}
 }
 
+// Guards against a share that stays in force for ever when its rollout object is deleted.
+func TestDeletedRolloutIsTakenBack(t *testing.T) {
+	tr := newTrial(1)
+	tr.Disturb = func(t *trial.Trial) { t.At(30*time.Second, t.Delete) }
+	r := tr.Run()
+	if s := r.Share(); s.Stable() != trial.From || s.Candidate() != "" || s.Rollout() == "" {
+		t.Errorf("the head shows %q beside %q", s.Stable(), s.Candidate())
+	}
+	for _, f := range r.Faults() {
+		t.Error(f)
+	}
+}
+
 // stopped lets a machine's clock stand still while its node is paused, as on a suspended virtual machine; then the
 // lease's expiry is not noticed and only the epoch in the head keeps the old holder from writing.
 type stopped struct {
