--- a/mesh/admitter/retry_test.go
+++ b/mesh/admitter/retry_test.go
@@ -140,3 +140,21 @@
 		t.Errorf("%d calls are lost", lost.Load())
 	}
 }
+
+// TestPoison guards against a call that crashes upstreams and uses up the retry budget of others by its refusals.
+func TestPoison(t *testing.T) {
+	url, _ := upstream(t)
+	n := run(t, "127.0.0.1:7001", url)
+	n.publisher.Publish(configuration(t, 1, share.Share{}))
+	n.publisher.Publish(endpoints(1, "127.0.0.1:7002", "127.0.0.1:7003", "127.0.0.1:7004"))
+	var refusals atomic.Int64
+	n.wire.peer = func(context.Context, string, call.Call) (answer.Answer, error) {
+		refusals.Add(1)
+		return answer.New(answer.Fields{Status: 503, Ran: answer.No, Reason: "poison"}), nil
+	}
+	for i := range int64(20) {
+		if got := send(t, n, "GET", "/a", ""); got.status != 503 || got.ran != "no" || got.reason != "poison" || refusals.Load() != i+1 {
+			t.Fatalf("call %d: %+v after %d refusals", i, got, refusals.Load())
+		}
+	}
+}
--- /dev/null
+++ b/mesh/isolator/bench_test.go
@@ -0,0 +1,32 @@
+package isolator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/guard"
+)
+
+// BenchmarkCall measures what the crash guard adds to a call without marks, while there are no marks and while there
+// are some.
+func BenchmarkCall(b *testing.B) {
+	for _, marks := range []int{0, 100} {
+		for _, body := range []int{100, 64 << 10} {
+			b.Run(fmt.Sprintf("marks=%d/body=%d", marks, body), func(b *testing.B) {
+				i := links{}.add("n0", time.Now)
+				for m := range marks {
+					i.hear("n1", uint64(m), call.New(call.Fields{Path: fmt.Sprint(m)}))
+				}
+				c := call.New(call.Fields{Method: "POST", Host: "swim.example", Path: "/entries", Body: make([]byte, body)})
+				b.ReportAllocs()
+				for b.Loop() {
+					id, _ := i.Enter(b.Context(), c)
+					epoch, _ := i.Send(id, c)
+					i.End(b.Context(), id, epoch, c, guard.Whole)
+				}
+			})
+		}
+	}
+}
