--- a/mesh/dispatcher/dispatcher.go
+++ b/mesh/dispatcher/dispatcher.go
@@ -52,14 +52,14 @@
 	Inject(event.Event)
 }
 
-// gate decides which calls may run, and learns how they end. A call's number is 0 if it needs no special care.
+// gate decides which calls may run, and learns how they end.
 type gate interface {
-	// Enter waits until the call may run and returns its number, or the reason of a refusal. End must follow a number.
-	Enter(ctx context.Context, c call.Call) (id uint64, reason string)
-	// Send is called right before the call is sent; it returns what End needs, or the reason of a refusal.
-	Send(id uint64, c call.Call) (epoch uint64, reason string)
+	// Enter waits until the call may run and returns its pass, or the reason of a refusal. End must follow a pass.
+	Enter(ctx context.Context, c call.Call) (p guard.Pass, reason string)
+	// Send is called right before the call is sent; it returns the pass for End, or the reason of a refusal.
+	Send(p guard.Pass, c call.Call) (sent guard.Pass, reason string)
 	// End may wait before the answer to a call that was in flight in a crash is given, within ctx.
-	End(ctx context.Context, id, epoch uint64, c call.Call, e guard.Ending)
+	End(ctx context.Context, p guard.Pass, c call.Call, e guard.Ending)
 	// Ready returns why calls should not come here yet, or nil.
 	Ready() error
 }
@@ -67,10 +67,10 @@
 // ungated lets all calls run, in programs without a gate.
 type ungated struct{}
 
-func (ungated) Enter(context.Context, call.Call) (uint64, string)            { return 0, "" }
-func (ungated) Send(uint64, call.Call) (uint64, string)                      { return 0, "" }
-func (ungated) End(context.Context, uint64, uint64, call.Call, guard.Ending) {}
-func (ungated) Ready() error                                                 { return nil }
+func (ungated) Enter(context.Context, call.Call) (guard.Pass, string)    { return guard.Pass{}, "" }
+func (ungated) Send(p guard.Pass, _ call.Call) (guard.Pass, string)      { return p, "" }
+func (ungated) End(context.Context, guard.Pass, call.Call, guard.Ending) {}
+func (ungated) Ready() error                                             { return nil }
 
 // Dispatcher runs the calls that are sent to this node's endpoint.
 type Dispatcher struct {
@@ -170,29 +170,29 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.Left())*time.Millisecond)
 	defer cancel()
-	id, reason := d.gate.Enter(ctx, c)
+	p, reason := d.gate.Enter(ctx, c)
 	if reason != "" {
 		return d.refuse(http.StatusServiceUnavailable, reason)
 	}
-	a, epoch, e := d.run(ctx, id, c)
-	d.gate.End(ctx, id, epoch, c, e)
+	a, p, e := d.run(ctx, p, c)
+	d.gate.End(ctx, p, c, e)
 	return a
 }
 
-// run waits for a slot and runs the call, and returns how it ended and the gate's epoch of its sending.
-func (d *Dispatcher) run(ctx context.Context, id uint64, c call.Call) (answer.Answer, uint64, guard.Ending) {
+// run waits for a slot and runs the call, and returns what the gate is told of its end.
+func (d *Dispatcher) run(ctx context.Context, p guard.Pass, c call.Call) (answer.Answer, guard.Pass, guard.Ending) {
 	deadline, _ := ctx.Deadline()
 	switch r := d.limiter.Enter(ctx, limiter.Request{Route: c.Route(), Tenant: c.Tenant(), Class: c.Class(), Deadline: deadline}); r {
 	case "":
 	case limiter.Crowded:
-		return d.refuse(http.StatusTooManyRequests, string(limiter.Full)), 0, guard.Unsent
+		return d.refuse(http.StatusTooManyRequests, string(limiter.Full)), p, guard.Unsent
 	default:
-		return d.refuse(http.StatusServiceUnavailable, string(r)), 0, guard.Unsent
+		return d.refuse(http.StatusServiceUnavailable, string(r)), p, guard.Unsent
 	}
-	epoch, reason := d.gate.Send(id, c)
+	p, reason := d.gate.Send(p, c)
 	if reason != "" {
 		d.limiter.Exit(c.Route(), 0, false)
-		return d.refuse(http.StatusServiceUnavailable, reason), 0, guard.Unsent
+		return d.refuse(http.StatusServiceUnavailable, reason), p, guard.Unsent
 	}
 	start := time.Now()
 	f, err := d.client.do(ctx, c)
@@ -205,10 +205,10 @@
 	d.limiter.Exit(c.Route(), took, measured)
 	if err != nil {
 		a := d.failed(ctx, err)
-		return a, epoch, ending(a)
+		return a, p, ending(a)
 	}
 	f.Ran = answer.Yes
-	return d.loaded(f), epoch, guard.Whole
+	return d.loaded(f), p, guard.Whole
 }
 
 // ending returns what a failure means for the gate.
--- a/mesh/dispatcher/gate_test.go
+++ b/mesh/dispatcher/gate_test.go
@@ -23,18 +23,18 @@
 	number, epoch uint64
 }
 
-func (s *turnstile) Enter(context.Context, call.Call) (uint64, string) {
+func (s *turnstile) Enter(context.Context, call.Call) (guard.Pass, string) {
 	s.trace = append(s.trace, "enter")
-	return s.number, s.enter
+	return guard.NewPass(s.number, ""), s.enter
 }
 
-func (s *turnstile) Send(id uint64, _ call.Call) (uint64, string) {
-	s.trace = append(s.trace, fmt.Sprintf("send %d", id))
-	return s.epoch, s.send
+func (s *turnstile) Send(p guard.Pass, _ call.Call) (guard.Pass, string) {
+	s.trace = append(s.trace, fmt.Sprintf("send %d", p.ID()))
+	return p.Sent(s.epoch), s.send
 }
 
-func (s *turnstile) End(_ context.Context, id, epoch uint64, _ call.Call, e guard.Ending) {
-	s.trace = append(s.trace, fmt.Sprintf("end %d %d %s", id, epoch, e))
+func (s *turnstile) End(_ context.Context, p guard.Pass, _ call.Call, e guard.Ending) {
+	s.trace = append(s.trace, fmt.Sprintf("end %d %d %s", p.ID(), p.Epoch(), e))
 }
 
 func (s *turnstile) Ready() error { return s.ready }
--- /dev/null
+++ b/mesh/guard/pass.go
@@ -0,0 +1,27 @@
+package guard
+
+// Pass is an immutable permission to send one call to the local upstream.
+type Pass struct {
+	id    uint64
+	epoch uint64
+	print string
+}
+
+// NewPass returns the pass of a call that is not sent yet. The number is 0 for a call without marks, and the
+// fingerprint is empty if it was not needed so far.
+func NewPass(id uint64, print string) Pass { return Pass{id: id, print: print} }
+
+// Sent returns the pass of the call after it was sent in the epoch.
+func (p Pass) Sent(epoch uint64) Pass {
+	p.epoch = epoch
+	return p
+}
+
+// ID returns the number of a suspect, or 0.
+func (p Pass) ID() uint64 { return p.id }
+
+// Epoch returns the epoch in which the call was sent.
+func (p Pass) Epoch() uint64 { return p.epoch }
+
+// Print returns the call's fingerprint, or the empty string if it was not needed so far.
+func (p Pass) Print() string { return p.print }
--- a/mesh/isolator/call.go
+++ b/mesh/isolator/call.go
@@ -38,39 +38,39 @@
 	witness string
 }
 
-// print returns the call's fingerprint if it has marks, and the empty string for other calls.
-func (i *Isolator) print(c call.Call) string {
+// find reports whether the call has marks. It returns the fingerprint, which is taken only while there are any marks, as
+// it takes about 1 ms per MB of the body.
+func (i *Isolator) find(c call.Call, print string) (string, bool) {
 	marked := i.marked.Load()
 	if marked == nil {
-		return ""
+		return print, false
 	}
-	p := guard.Print(c)
-	if _, ok := (*marked)[p]; !ok {
-		return ""
+	if print == "" {
+		print = guard.Print(c)
 	}
-	return p
+	_, found := (*marked)[print]
+	return print, found
 }
 
-// Enter waits until the call may run. It returns the call's number, which is 0 for a call without marks, or the reason
-// why the call may not run. End must follow a number.
-func (i *Isolator) Enter(ctx context.Context, c call.Call) (id uint64, reason string) {
-	p := i.print(c)
-	if p == "" {
-		return 0, ""
+// Enter waits until the call may run, and returns its pass or the reason why it may not run. End must follow a pass.
+func (i *Isolator) Enter(ctx context.Context, c call.Call) (guard.Pass, string) {
+	p, found := i.find(c, "")
+	if !found {
+		return guard.NewPass(0, p), ""
 	}
-	id = rand.Uint64() | 1
+	id := rand.Uint64() | 1
 	limit := time.NewTimer(holdLimit)
 	defer limit.Stop()
 	for {
 		ruling, changed := i.ask(ctx, id, p, c.Left())
 		switch ruling {
 		case guard.Run:
-			return 0, ""
+			return guard.NewPass(0, p), ""
 		case guard.Alone:
-			return id, ""
+			return guard.NewPass(id, p), ""
 		case guard.Poison:
 			poisonRefused.Inc(1)
-			return 0, reasonPoison
+			return guard.Pass{}, reasonPoison
 		}
 		again := time.NewTimer(holdInterval/2 + rand.N(holdInterval))
 		select {
@@ -78,10 +78,10 @@
 		case <-again.C:
 		case <-limit.C:
 			suspectRefused.Inc(1)
-			return 0, reasonSuspect
+			return guard.Pass{}, reasonSuspect
 		case <-ctx.Done():
 			suspectRefused.Inc(1)
-			return 0, reasonSuspect
+			return guard.Pass{}, reasonSuspect
 		}
 		again.Stop()
 	}
@@ -113,47 +113,43 @@
 	return guard.Hold, changed
 }
 
-// Send notes that the call is about to be sent, and returns what End needs, or why it may not be sent after all.
-func (i *Isolator) Send(id uint64, c call.Call) (epoch uint64, reason string) {
-	if id == 0 {
-		epoch = i.epoch.Load()
-		// A mark may have come while the call waited for a slot.
-		if i.print(c) != "" {
+// Send notes that the call is about to be sent and returns its pass for End, or why it may not be sent after all.
+func (i *Isolator) Send(p guard.Pass, c call.Call) (guard.Pass, string) {
+	if p.ID() == 0 {
+		epoch := i.epoch.Load()
+		print, found := i.find(c, p.Print())
+		if found {
+			// The mark has come while the call waited for a slot.
 			suspectRefused.Inc(1)
-			return 0, reasonSuspect
+			return p, reasonSuspect
 		}
-		return epoch, ""
+		return guard.NewPass(0, print).Sent(epoch), ""
 	}
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	if i.guard.Ask(i.now(), id, i.suspects[id].print) == guard.Poison {
+	if i.guard.Ask(i.now(), p.ID(), p.Print()) == guard.Poison {
 		poisonRefused.Inc(1)
-		return 0, reasonPoison
+		return p, reasonPoison
 	}
-	i.guard.Send(id)
-	return i.guard.Epoch(), ""
+	i.guard.Send(p.ID())
+	return p.Sent(i.guard.Epoch()), ""
 }
 
-// End notes the end of a call that was sent in the epoch. If it was in flight in a crash, End returns only after the
-// other nodes have its mark, within limits, so that the caller does not send it again to a node without the mark.
-func (i *Isolator) End(ctx context.Context, id, epoch uint64, c call.Call, e guard.Ending) {
-	p := ""
-	switch {
-	case e == guard.Broken || e == guard.Crashed:
-		p = guard.Print(c)
-	case id == 0:
-		if p = i.print(c); p == "" {
-			return
-		}
+// End notes how the call ended. If it was in flight in a crash, End returns only after the other nodes have its mark,
+// within limits, so that the caller does not send it again to a node without the mark.
+func (i *Isolator) End(ctx context.Context, p guard.Pass, c call.Call, e guard.Ending) {
+	print, found := i.find(c, p.Print())
+	if p.ID() == 0 && !found && (e == guard.Whole || e == guard.Unsent) {
+		return
+	}
+	if print == "" {
+		print = guard.Print(c)
 	}
 	var out *news
 	i.do(func(now time.Time) []effect.Effect {
-		s, alone := i.suspects[id]
-		if alone {
-			p = s.print
-			delete(i.suspects, id)
-		}
-		marks := i.guard.End(now, id, p, epoch, e)
+		s, alone := i.suspects[p.ID()]
+		delete(i.suspects, p.ID())
+		marks := i.guard.End(now, p.ID(), print, p.Epoch(), e)
 		i.signal()
 		crashed := false
 		for _, m := range marks {
@@ -170,7 +166,7 @@
 			// After a crash the permission ends by itself, when the second mark has spread.
 			return nil
 		}
-		return i.giveBack(s, id)
+		return i.giveBack(s, p.ID())
 	})
 	if out != nil {
 		out.await(ctx)
