--- a/mesh/isolator/isolator_test.go
+++ b/mesh/isolator/isolator_test.go
@@ -16,6 +16,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/dispatcher"
+	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/event"
 	"wisteriaspoke.example/mesh/isolator"
@@ -66,12 +67,21 @@
 	w.net.mutex.Lock()
 	to := w.net.parts[peer]
 	w.net.mutex.Unlock()
-	if to != nil {
-		w.net.sends.Go(func() {
-			time.Sleep(w.net.delay)
-			to.Handle(w.name, m)
-		})
+	if to == nil {
+		return
 	}
+	data, err := encoder.Encode(m)
+	if err != nil {
+		panic(err)
+	}
+	w.net.sends.Go(func() {
+		time.Sleep(w.net.delay)
+		m, err := encoder.Decode(data)
+		if err != nil {
+			panic(err)
+		}
+		to.Handle(w.name, m)
+	})
 }
 
 // upstream is an HTTP server that dies when it gets /die; /slow waits until the upstream dies.
--- a/mesh/spreader/spreader.go
+++ b/mesh/spreader/spreader.go
@@ -16,6 +16,9 @@
 	pullInterval = time.Second
 	// pulledLately is how long a relay passes marks to a node after its last pull.
 	pulledLately = 5 * time.Second
+	// seatedLong is how long a relay has held its seat when all nodes that can be reached have pulled from it. Before,
+	// it does not know whom to pass marks to, and a confirmation would be false.
+	seatedLong = 2 * pullInterval
 	// fallback is the wait for the first relay, as for configuration; a healthy mesh confirms within 100 ms.
 	fallback = 300 * time.Millisecond
 	// retryFor is how long a node repeats marks that were not confirmed, longer than both relays take to be replaced.
@@ -28,6 +31,9 @@
 	pageSize = 256
 )
 
+// unknown stands for the receivers that a new relay does not know yet. It never confirms; the sender repeats the marks.
+const unknown = ""
+
 // Spreader spreads the marks of one node's guard. It is not safe for concurrent use.
 type Spreader struct {
 	Node        string       // set before the first use
@@ -36,6 +42,7 @@
 
 	roster  roster.Roster
 	known   bool                 // the roster has been set
+	seated  time.Time            // when this node became a relay
 	synced  bool                 // a relay has sent all its marks
 	pulled  time.Time            // last pull by this node
 	askers  map[string]time.Time // last pull by other nodes
@@ -62,6 +69,9 @@
 
 // SetRoster takes a new view of the relays.
 func (s *Spreader) SetRoster(now time.Time, r roster.Roster) []effect.Effect {
+	if r.Seat() >= 0 && !s.relay() {
+		s.seated = now
+	}
 	s.roster = r
 	first := !s.known
 	s.known = true
@@ -197,6 +207,9 @@
 		send(s.roster.Region(), toRegion)
 	}
 	send(slices.Sorted(maps.Keys(s.askers)), toNode)
+	if b.sent.Sub(s.seated) < seatedLong {
+		b.waiting[unknown] = true
+	}
 	switch {
 	case len(b.waiting) == 0 && b.peer != "":
 		return append(effects, effect.NewSend(b.peer, newTaken(b.number)))
