--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -12,10 +12,14 @@
 
 const (
 	subscribePeriod = time.Second
+	// secondPeriod is the period to relays that do not push; it stays well under clientTimeout.
+	secondPeriod = 2 * time.Second
 	// floorPeriod is how often a node that needs the version floor asks for it.
 	floorPeriod = 200 * time.Millisecond
 	// retargetSpread spreads the first messages of a data centre's nodes to relays that are new to them.
 	retargetSpread = 50 * time.Millisecond
+	// borrowPatience is how long a relay of another data centre may take to answer a node that turns to it.
+	borrowPatience = 500 * time.Millisecond
 	// relaySilence is how long a node waits for its relays before it looks for others.
 	relaySilence = 2500 * time.Millisecond
 )
@@ -28,15 +32,19 @@
 	demanded []string
 	relays   []string // the first pushes deltas, the second the version
 	heard    map[string]time.Time
-	since    time.Time // when relays last changed
-	at       time.Time // of the next subscription
+	since    time.Time            // when relays last changed
+	at       time.Time            // of the next subscription
+	told     map[string]bool      // relays that have the full subscription
+	toldAt   map[string]time.Time // of the last subscription
 	newest   map[string]uint64
 	lagging  time.Time
 	pullAt   time.Time
 	whole    bool // the next pull asks for the whole state
 }
 
-func newClient() client { return client{heard: map[string]time.Time{}, newest: map[string]uint64{}} }
+func newClient() client {
+	return client{heard: map[string]time.Time{}, newest: map[string]uint64{}, told: map[string]bool{}, toldAt: map[string]time.Time{}}
+}
 
 // connected reports whether one of the node's relays is heard.
 func (c *client) connected(now time.Time) bool {
@@ -46,6 +54,8 @@
 func (c *client) unlinked(peer string) {
 	delete(c.heard, peer)
 	delete(c.newest, peer)
+	delete(c.told, peer)
+	delete(c.toldAt, peer)
 }
 
 func (c *client) retarget() {
@@ -64,8 +74,10 @@
 			period = floorPeriod
 		}
 		r.client.at = r.now.Add(period)
-		for i := range r.client.relays {
-			r.subscribe(i, false)
+		for i, a := range r.client.relays {
+			if i == 0 || !r.floor.known || r.now.Sub(r.client.toldAt[a]) >= secondPeriod {
+				r.subscribe(i, false)
+			}
 		}
 	}
 	r.pullIfLagging()
@@ -74,25 +86,43 @@
 // chooseRelays takes the live relays of the own data centre, or one of the region or elsewhere while there are none.
 func (r *relayer) chooseRelays() {
 	c := &r.client
-	match := func(f func(*holding) bool) []string {
-		return addresses(r.table.selectLive(r.now, func(h *holding) bool { return h.holder != r.config.Node && f(h) }))
-	}
-	next := match(func(h *holding) bool { return h.centre == r.config.DataCentre })
+	next := addresses(r.table.selectLive(r.now, func(h *holding) bool {
+		return h.centre == r.config.DataCentre && h.holder != r.config.Node
+	}))
 	if len(next) == 0 {
-		next = r.borrow(match(func(h *holding) bool { return h.region == r.config.Region }))
-	}
-	if len(next) == 0 {
-		next = r.borrow(match(func(*holding) bool { return true }))
+		next = r.chooseBorrowed()
 	}
 	if slices.Equal(next, c.relays) {
 		return
 	}
 	c.relays = next
 	c.since = r.now
+	// The order may have changed, and with it who pushes.
+	clear(c.toldAt)
 	c.at = r.now.Add(r.jitter(retargetSpread))
 	r.wake(c.at)
 }
 
+// chooseBorrowed returns a relay of another data centre, of the own region if there is one, and drops one that does
+// not answer. The node hears nothing of these relays while its own ones live, so their last news may be old.
+func (r *relayer) chooseBorrowed() []string {
+	c := &r.client
+	for _, a := range c.relays {
+		if c.heard[a].Before(c.since) && r.now.Sub(c.since) > borrowPatience {
+			r.table.unlink(a, r.now)
+		}
+	}
+	for _, region := range []bool{true, false} {
+		known := r.table.selectKnown(func(h *holding) bool {
+			return h.centre != r.config.DataCentre && h.holder != r.config.Node && (h.region == r.config.Region) == region
+		})
+		if next := r.borrow(addresses(known)); len(next) > 0 {
+			return next
+		}
+	}
+	return nil
+}
+
 // borrow picks one of the addresses, the one in use if it is among them.
 func (r *relayer) borrow(from []string) []string {
 	if len(from) == 0 {
@@ -119,12 +149,28 @@
 	if pull && c.whole {
 		m.Digest = 0
 	}
-	r.send(c.relays[index], subscribeKind, m)
+	address := c.relays[index]
+	if c.told[address] {
+		m.Kept = true
+		m.Centre, m.Service, m.Demanded, m.Refused, m.Reason = "", "", nil, 0, ""
+	}
+	c.told[address] = true
+	c.toldAt[address] = r.now
+	r.send(address, subscribeKind, m)
 }
 
 func (r *relayer) receivePulse(from string, m *pulse) {
 	c := &r.client
+	if m.Again {
+		delete(c.told, from)
+		c.at = r.now
+		r.tickClient()
+		return
+	}
 	r.merge(m.Seats)
+	if h := r.table.touch(from, m.Renewed, r.now); h != nil && h.centre == r.config.DataCentre && h.index < seatCount {
+		r.leases[h.index].Heard(r.now, h.epoch, time.UnixMilli(m.Renewed))
+	}
 	r.finder.found = true
 	r.claim.fleet = m.Nodes
 	c.heard[from] = r.now
@@ -210,16 +256,26 @@
 // demand subscribes to one more service.
 func (r *relayer) demand(service string) {
 	c := &r.client
-	if _, ok := c.state.Part(service); ok || slices.Contains(c.demanded, service) {
+	if _, ok := r.own().Part(service); ok || slices.Contains(c.demanded, service) {
 		return
 	}
 	c.demanded = append(slices.Clone(c.demanded), service)
 	slices.Sort(c.demanded)
-	if r.seat < 0 && len(c.relays) > 0 {
+	clear(c.told)
+	switch {
+	case r.seat >= 0:
+		r.publish()
+	case len(c.relays) > 0:
 		r.subscribe(0, true)
 	}
 }
 
+// own returns the part of the state that this node subscribes to. A relay holds all services for other nodes, but its
+// registrar hands over only the endpoint sets of the node's own subscription.
+func (r *relayer) own() differ.State {
+	return r.client.state.Filter(r.config.Service, r.client.demanded)
+}
+
 // applyOwn applies a state to this relay's own node.
 func (r *relayer) applyOwn(state differ.State) {
 	if state.Version() < r.client.state.Version() {
@@ -232,7 +288,7 @@
 // publish hands the state to the data path unless it is older than what the node must not go below.
 func (r *relayer) publish() {
 	f := &r.floor
-	s := r.client.state
+	s := r.own()
 	if !f.known || s.Version() == 0 || s.Version() < f.value || s.Version() < f.published {
 		return
 	}
--- a/node/main.go
+++ b/node/main.go
@@ -1,4 +1,3 @@
-// Command wisteriaspoke-node is the process beside each upstream; its imports choose its parts and control machines.
 package main
 
 import (
@@ -8,6 +7,7 @@
 	_ "wisteriaspoke.example/mesh/dispatcher"
 	_ "wisteriaspoke.example/mesh/driver"
 	_ "wisteriaspoke.example/mesh/identity"
+	_ "wisteriaspoke.example/mesh/isolator"
 	"wisteriaspoke.example/mesh/kernel"
 	_ "wisteriaspoke.example/mesh/linker"
 	_ "wisteriaspoke.example/mesh/meter"
