linker: decode frames without a copy of the body

Cause: after the change of encoding, the heap profile of BenchmarkCall/65536 gave half of the rest to cbor.RawMessage, which copies the frame's body; the call or answer then copies its fields again.

The body of a decoded frame is now a part of the read buffer. The second copy stays, as the reader reuses its buffer for the next frame. Two tests check that the body is a part of the frame's bytes, and that a decoded call or answer is not.

Ruled out: decoding the head by hand, which would change the limits and errors of the decoder for the whole frame.

--- a/mesh/linker/frame.go
+++ b/mesh/linker/frame.go
@@ -35,7 +35,7 @@
 	Type       frameType
 	Generation uint64 // of the link; zero in a hello only
 	ID         uint64 // of the call on this link; zero in frames that concern no call
-	Body       cbor.RawMessage
+	Body       raw
 }
 
 // cborNull is the body of a frame without one.
@@ -81,6 +81,13 @@
 // raw is a body that is encoded already; an empty one stands for no body.
 type raw []byte
 
+// UnmarshalCBOR keeps data without a copy, unlike cbor.RawMessage, so a decoded body is valid as long as the frame's data.
+// The decoder passes a part of its own input, which TestBodyOfFrame checks.
+func (r *raw) UnmarshalCBOR(data []byte) error {
+	*r = data
+	return nil
+}
+
 // MarshalTo appends the body.
 func (r raw) MarshalTo(b *bytes.Buffer) error {
 	if len(r) == 0 {
@@ -113,7 +120,7 @@
 	return b.Bytes(), nil
 }
 
-// decodeFrame returns the frame in data; malformed data are a fault of kind Invalid.
+// decodeFrame returns the frame in data, whose body is a part of data; malformed data are a fault of kind Invalid.
 func decodeFrame(data []byte) (frame, error) {
 	var f frame
 	if err := decMode.Unmarshal(data, &f); err != nil {
--- a/mesh/linker/frame_test.go
+++ b/mesh/linker/frame_test.go
@@ -11,6 +11,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/message"
@@ -74,6 +75,52 @@
 	goldie.New(t).Assert(t, "frames", out.Bytes())
 }
 
+// Guards against a decoder that passes bytes other than its input to the body, which keeps them without a copy.
+func TestBodyOfFrame(t *testing.T) {
+	for _, e := range examples(t) {
+		if !hasBody[e.Type] {
+			continue
+		}
+		data := must(encodeFrame(e.Type, e.Generation, e.ID, e.Body))
+		f, err := decodeFrame(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if start := len(data) - len(e.Body); len(f.Body) != len(e.Body) || &f.Body[0] != &data[start] {
+			t.Errorf("type %d: the body is not the end of the frame", e.Type)
+		}
+	}
+}
+
+// Guards against decoded calls and answers that change with the reader's buffer, which the next frame overwrites.
+func TestDecodedCopies(t *testing.T) {
+	for _, e := range examples(t) {
+		if e.Type != typeCall && e.Type != typeAnswer {
+			continue
+		}
+		data := must(encodeFrame(e.Type, e.Generation, e.ID, e.Body))
+		f, err := decodeFrame(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again []byte
+		if e.Type == typeCall {
+			var c call.Call
+			err = c.UnmarshalCBOR(f.Body)
+			clear(data)
+			again = must(c.MarshalCBOR())
+		} else {
+			var a answer.Answer
+			err = a.UnmarshalCBOR(f.Body)
+			clear(data)
+			again = must(a.MarshalCBOR())
+		}
+		if err != nil || !bytes.Equal(again, e.Body) {
+			t.Errorf("type %d: got %x, %v", e.Type, again, err)
+		}
+	}
+}
+
 type malformedCase struct {
 	name string
 	data []byte
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -342,7 +342,7 @@
 		if err != nil {
 			return err
 		}
-		// The frame has its own copy of the body.
+		// The frame's body is a part of the buffer; handle decodes it to copies before the next read.
 		f, err := decodeFrame(data)
 		if err != nil {
 			return err
