--- a/mesh/linker/frame_test.go
+++ b/mesh/linker/frame_test.go
@@ -11,6 +11,7 @@
 	"github.com/sebdah/goldie/v2"
 
 	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/message"
@@ -51,6 +52,75 @@
 	goldie.New(t).Assert(t, "frames", out.Bytes())
 }
 
+// Guards against frames that are encoded in place, in a buffer with older bytes, and differ from the wire form.
+func TestFrameBytesInPlace(t *testing.T) {
+	a := answer.New(answer.Fields{Status: 200, Ran: answer.Yes, Body: []byte("ok")})
+	var out bytes.Buffer
+	for _, f := range examples(t) {
+		var body content = raw(f.Body)
+		switch f.Type {
+		case typeCall:
+			body = newCall("body")
+		case typeAnswer:
+			body = a
+		}
+		b := newFrameBuffer(0)
+		b.Write(bytes.Repeat([]byte{0xff}, bodySlack))
+		b.Reset()
+		if err := appendFrame(b, f.Type, f.Generation, f.ID, body); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(&out, "%d %s\n", f.Type, hex.EncodeToString(b.Bytes()))
+	}
+	goldie.New(t).Assert(t, "frames", out.Bytes())
+}
+
+// Guards against a decoder that passes bytes other than its input to the body, which keeps them without a copy.
+func TestBodyOfFrame(t *testing.T) {
+	for _, e := range examples(t) {
+		if !hasBody[e.Type] {
+			continue
+		}
+		data := must(encodeFrame(e.Type, e.Generation, e.ID, e.Body))
+		f, err := decodeFrame(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if start := len(data) - len(e.Body); len(f.Body) != len(e.Body) || &f.Body[0] != &data[start] {
+			t.Errorf("type %d: the body is not the end of the frame", e.Type)
+		}
+	}
+}
+
+// Guards against decoded calls and answers that change with the reader's buffer, which the next frame overwrites.
+func TestDecodedCopies(t *testing.T) {
+	for _, e := range examples(t) {
+		if e.Type != typeCall && e.Type != typeAnswer {
+			continue
+		}
+		data := must(encodeFrame(e.Type, e.Generation, e.ID, e.Body))
+		f, err := decodeFrame(data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again []byte
+		if e.Type == typeCall {
+			var c call.Call
+			err = c.UnmarshalCBOR(f.Body)
+			clear(data)
+			again = must(c.MarshalCBOR())
+		} else {
+			var a answer.Answer
+			err = a.UnmarshalCBOR(f.Body)
+			clear(data)
+			again = must(a.MarshalCBOR())
+		}
+		if err != nil || !bytes.Equal(again, e.Body) {
+			t.Errorf("type %d: got %x, %v", e.Type, again, err)
+		}
+	}
+}
+
 type malformedCase struct {
 	name string
 	data []byte
