--- a/mesh/isolator/call.go
+++ b/mesh/isolator/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -169,6 +170,9 @@
 		return i.giveBack(s, p.ID())
 	})
 	if out != nil {
+		// The query may hold what must not be logged.
+		path, _, _ := strings.Cut(c.Path(), "?")
+		i.log.Warn("call was in flight in a crash", "service", c.Service(), "method", c.Method(), "path", path, "print", print)
 		out.await(ctx)
 	}
 }
--- a/mesh/isolator/isolator.go
+++ b/mesh/isolator/isolator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,7 @@
 type Isolator struct {
 	now     func() time.Time
 	started atomic.Bool // messages that arrive before are dropped, and repeated by their senders
+	log     *slog.Logger
 	node    string
 	links   sender
 
@@ -78,6 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
+	i.log = k.Log
 	i.open(id.Config(), links)
 	end := make(chan error, 1)
 	go func() { end <- i.run(ctx) }()
@@ -86,7 +89,7 @@
 
 func newIsolator(now func() time.Time) *Isolator {
 	return &Isolator{
-		now: now, sent: map[uint64]*news{}, suspects: map[uint64]suspect{},
+		now: now, log: slog.New(slog.DiscardHandler), sent: map[uint64]*news{}, suspects: map[uint64]suspect{},
 		changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
