--- a/mesh/reserver/reserver.go
+++ b/mesh/reserver/reserver.go
@@ -21,7 +21,7 @@
 )
 
 func init() {
-	kernel.Register("reserver", 55, func() kernel.Part { return &Reserver{ReplyLimit: 250 * time.Millisecond} })
+	kernel.Register("reserver", 55, func() kernel.Part { return newReserver(time.Now) })
 }
 
 // maxAnswer bounds the body of an answer that owners keep, in bytes; longer ones are remembered as run only.
@@ -45,6 +45,7 @@
 	links   sender
 	now     func() time.Time
 	started time.Time
+	open    atomic.Bool // node and links are set
 	held    *shards
 	views   atomic.Pointer[map[string]view]
 	waiters sync.Map // attempt -> chan arbiter.Reply
@@ -66,15 +67,20 @@
 	if err != nil {
 		return nil, err
 	}
-	r.open(id.Config().Node, links, time.Now)
+	r.connect(id.Config().Node, links)
 	return nil, nil
 }
 
-func (r *Reserver) open(node string, links sender, now func() time.Time) {
-	r.node, r.links, r.now = node, links, now
-	r.started = now()
-	r.held = newShards()
+// newReserver returns a reserver that already takes groups, as the control machines start before it.
+func newReserver(now func() time.Time) *Reserver {
+	r := &Reserver{ReplyLimit: 250 * time.Millisecond, now: now, started: now(), held: newShards()}
 	r.views.Store(&map[string]view{})
+	return r
+}
+
+func (r *Reserver) connect(node string, links sender) {
+	r.node, r.links = node, links
+	r.open.Store(true)
 }
 
 // Publish takes new groups of endpoints and ignores all other values; called by one goroutine at a time.
@@ -105,8 +111,12 @@
 	r.views.Store(&views)
 }
 
-// Handle takes the messages between entry nodes and owners and reports whether m was one.
+// Handle takes the messages between entry nodes and owners and reports whether m was one. Messages that come before
+// Start, as links are accepted earlier, go on and are dropped by the control machines; the other side sees no reply.
 func (r *Reserver) Handle(peer string, m message.Message) bool {
+	if !r.open.Load() {
+		return false
+	}
 	switch b := m.Body().(type) {
 	case *reserveBody:
 		r.links.Send(peer, r.answer(b))
--- a/mesh/reserver/reserver_test.go
+++ b/mesh/reserver/reserver_test.go
@@ -63,8 +63,8 @@
 }
 
 func (m *mesh) boot(node string) {
-	r := &Reserver{ReplyLimit: 250 * time.Millisecond}
-	r.open(node, port{mesh: m, node: node}, time.Now)
+	r := newReserver(time.Now)
+	r.connect(node, port{mesh: m, node: node})
 	m.parts[node] = r
 }
 
@@ -110,6 +110,20 @@
 	return fmt.Sprintf("%s-%s-7000-8000-%012x", ms[:8], ms[8:], n)
 }
 
+// TestBeforeStart guards against a crash by a message, or the loss of a group, that comes before the part is started.
+func TestBeforeStart(t *testing.T) {
+	r := newReserver(time.Now)
+	if r.Handle("10.0.0.1:7400", message.New(kindReserve, &reserveBody{Service: "meldung", Key: "k"})) {
+		t.Error("a message is handled before Start")
+	}
+	e := endpoint.New(endpoint.Fields{Address: "10.0.0.1:7400", Service: "meldung", State: endpoint.Ready})
+	r.Publish(group.New("obb-a", "meldung", 1, 1, []endpoint.Endpoint{e}))
+	r.connect("10.0.0.1:7400", nil)
+	if got := (*r.views.Load())["meldung"].ranker.Rank("k"); len(got) != 1 {
+		t.Errorf("owners %v, want the endpoint's node", got)
+	}
+}
+
 // TestOnce guards against a second run of a key through another node, after a lost report, the death of owners, or a
 // restart that lost their memory.
 func TestOnce(t *testing.T) {
--- a/node/parts_test.go
+++ b/node/parts_test.go
@@ -7,6 +7,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/guard"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/message"
 )
@@ -27,6 +28,12 @@
 		}](k)),
 		"publisher": len(kernel.All[interface{ Publish(value any) }](k)),
 		"injector":  len(kernel.All[interface{ Inject(e event.Event) }](k)),
+		"gate": len(kernel.All[interface {
+			Enter(ctx context.Context, c call.Call) (guard.Pass, string)
+			Send(p guard.Pass, c call.Call) (guard.Pass, string)
+			End(ctx context.Context, p guard.Pass, c call.Call, e guard.Ending)
+			Ready() error
+		}](k)),
 		"readiness": len(kernel.All[interface{ Ready() error }](k)),
 	}
 	for name, n := range checks {
