--- a/mesh/admitter/bench_test.go
+++ b/mesh/admitter/bench_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 
 	"wisteriaspoke.example/mesh/answer"
@@ -11,17 +14,33 @@
 	"wisteriaspoke.example/mesh/share"
 )
 
+// echoing starts an upstream that returns the body with its length.
+func echoing(b *testing.B) string {
+	b.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.Write(body)
+	}))
+	b.Cleanup(s.Close)
+	return s.URL
+}
+
 // BenchmarkPath measures a call over loopback HTTP, to the upstream alone and through the node beside it.
 func BenchmarkPath(b *testing.B) {
-	url, _ := upstream(b)
+	url := echoing(b)
 	n := run(b, "127.0.0.1:7001", url)
 	n.publisher.Publish(configuration(b, 1, share.Share{}))
 	n.publisher.Publish(endpoints(1, "127.0.0.1:7001"))
-	for _, c := range []struct{ name, url string }{{"direct", url}, {"node", n.url}} {
+	for _, c := range []struct {
+		name, url string
+		body      int
+	}{{"direct", url, 0}, {"node", n.url, 0}, {"direct64k", url, 64 << 10}, {"node64k", n.url, 64 << 10}} {
+		body := strings.Repeat("x", c.body)
 		b.Run(c.name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				r, err := http.NewRequest("GET", c.url+"/a", nil)
+				r, err := http.NewRequest("POST", c.url+"/a", strings.NewReader(body))
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/mesh/admitter/handle.go
+++ b/mesh/admitter/handle.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -196,17 +197,29 @@
 	if stream == nil {
 		return append([]byte(nil), q.Body()...), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(stream, maxBody+1))
+	length := q.Header.ContentLength()
+	body, err := readAll(stream, length)
 	if err != nil {
 		return nil, err
 	}
 	// fasthttp ends the stream of a body with a length without an error when the caller breaks off.
-	if n := q.Header.ContentLength(); n >= 0 && len(body) < n {
+	if length >= 0 && len(body) < length {
 		return nil, io.ErrUnexpectedEOF
 	}
 	return body, nil
 }
 
+// readAll reads the stream to its end; a length, if there is one, tells the room for it.
+func readAll(stream io.Reader, length int) ([]byte, error) {
+	stream = io.LimitReader(stream, maxBody+1)
+	if length <= 0 || length > firstRoom {
+		return io.ReadAll(stream)
+	}
+	b := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
+	_, err := b.ReadFrom(stream)
+	return b.Bytes(), err
+}
+
 // endToEnd returns the headers to pass on: neither the mesh's own nor those of the connection.
 func endToEnd(h *fasthttp.RequestHeader) []call.Header {
 	named := string(h.Peek("Connection"))
