--- a/mesh/linker/group.go
+++ b/mesh/linker/group.go
@@ -2,15 +2,16 @@
 
 import "sync/atomic"
 
-// group counts goroutines of one owner; each reports its end on a channel that the owner reads.
+// group counts goroutines of one owner, which learns of their end together. A report of each one woke the owner for
+// every call.
 type group struct {
-	state atomic.Int64 // running goroutines, plus closedGroup once no more may start
-	ends  chan struct{}
+	state atomic.Int64  // running goroutines, plus closedGroup once no more may start
+	empty chan struct{} // closed after the group is closed and all goroutines have ended
 }
 
 const closedGroup = 1 << 40
 
-func newGroup() *group { return &group{ends: make(chan struct{})} }
+func newGroup() *group { return &group{empty: make(chan struct{})} }
 
 // start runs f in a goroutine and reports false if the group is closed.
 func (g *group) start(f func()) bool {
@@ -24,17 +25,21 @@
 		}
 	}
 	go func() {
-		defer func() { g.ends <- struct{}{} }()
+		defer g.ended()
 		f()
 	}()
 	return true
 }
 
-// ended accounts for one value received from ends.
-func (g *group) ended() { g.state.Add(-1) }
-
-// running returns the number of goroutines whose end the owner has not read.
-func (g *group) running() int64 { return g.state.Load() &^ closedGroup }
+func (g *group) ended() {
+	if g.state.Add(-1) == closedGroup {
+		close(g.empty)
+	}
+}
 
-// close lets no more goroutines start; called once.
-func (g *group) close() { g.state.Add(closedGroup) }
+// close lets no more goroutines start; it can be called again.
+func (g *group) close() {
+	if g.state.Or(closedGroup) == 0 {
+		close(g.empty)
+	}
+}
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -111,10 +111,7 @@
 // awaitHandlers returns once every handler has ended; called after run, which has cancelled their contexts.
 func (l *link) awaitHandlers() {
 	l.handlers.close()
-	for l.handlers.running() > 0 {
-		<-l.handlers.ends
-		l.handlers.ended()
-	}
+	<-l.handlers.empty
 }
 
 // run owns the link's reader, writer and handlers, and returns why the link ended, nil after an orderly close.
@@ -144,7 +141,8 @@
 	defer idle.Stop()
 	var late <-chan time.Time
 	var used uint64
-	draining, acked, finished := false, false, false
+	empty := l.handlers.empty
+	draining, served, finished := false, false, false
 	for {
 		select {
 		case err := <-readEnd:
@@ -162,10 +160,11 @@
 			return errFlushed
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-l.handlers.ends:
-			l.handlers.ended()
+		case <-empty:
+			empty = nil
+			served = true
 		case <-l.acked:
-			acked = true
+			l.handlers.close()
 		case <-l.idle:
 		case <-idle.C:
 			now := l.ids.Load()
@@ -180,7 +179,7 @@
 				l.beginDrain()
 			}
 		}
-		if draining && !finished && l.settled(acked) {
+		if draining && !finished && l.settled(served) {
 			finished = true
 			close(l.finish)
 		}
@@ -194,15 +193,16 @@
 	}
 }
 
-// settled reports whether a draining link has no work left.
-func (l *link) settled(acked bool) bool {
+// settled reports whether a draining link has no work left; served means that the peer sends no more calls and that the
+// handlers of all its calls have ended.
+func (l *link) settled(served bool) bool {
 	if l.purpose == control {
 		return true
 	}
 	if l.dialed {
 		return l.outstanding.Load() == 0
 	}
-	return acked && l.handlers.running() == 0
+	return served
 }
 
 // sendUrgent queues a frame without a body and reports whether there was room.
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -223,10 +223,11 @@
 	done := ctx.Done()
 	sweeps := time.NewTicker(sweepInterval)
 	defer sweeps.Stop()
-	for done != nil || l.tasks.running() > 0 {
+	empty := l.tasks.empty
+	for empty != nil {
 		select {
-		case <-l.tasks.ends:
-			l.tasks.ended()
+		case <-empty:
+			empty = nil
 		case c := <-l.changes:
 			l.count(counts, c)
 		case <-sweeps.C:
