--- a/mesh/linker/group.go
+++ b/mesh/linker/group.go
@@ -2,16 +2,15 @@
 
 import "sync/atomic"
 
-// group counts goroutines of one owner, which learns of their end together. A report of each one woke the owner for
-// every call.
+// group counts goroutines of one owner; each reports its end on a channel that the owner reads.
 type group struct {
-	state atomic.Int64  // running goroutines, plus closedGroup once no more may start
-	empty chan struct{} // closed after the group is closed and all goroutines have ended
+	state atomic.Int64 // running goroutines, plus closedGroup once no more may start
+	ends  chan struct{}
 }
 
 const closedGroup = 1 << 40
 
-func newGroup() *group { return &group{empty: make(chan struct{})} }
+func newGroup() *group { return &group{ends: make(chan struct{})} }
 
 // start runs f in a goroutine and reports false if the group is closed.
 func (g *group) start(f func()) bool {
@@ -25,21 +24,17 @@
 		}
 	}
 	go func() {
-		defer g.ended()
+		defer func() { g.ends <- struct{}{} }()
 		f()
 	}()
 	return true
 }
 
-func (g *group) ended() {
-	if g.state.Add(-1) == closedGroup {
-		close(g.empty)
-	}
-}
+// ended accounts for one value received from ends.
+func (g *group) ended() { g.state.Add(-1) }
 
-// close lets no more goroutines start; it can be called again.
-func (g *group) close() {
-	if g.state.Or(closedGroup) == 0 {
-		close(g.empty)
-	}
-}
+// running returns the number of goroutines whose end the owner has not read.
+func (g *group) running() int64 { return g.state.Load() &^ closedGroup }
+
+// close lets no more goroutines start; called once.
+func (g *group) close() { g.state.Add(closedGroup) }
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -111,7 +111,10 @@
 // awaitHandlers returns once every handler has ended; called after run, which has cancelled their contexts.
 func (l *link) awaitHandlers() {
 	l.handlers.close()
-	<-l.handlers.empty
+	for l.handlers.running() > 0 {
+		<-l.handlers.ends
+		l.handlers.ended()
+	}
 }
 
 // run owns the link's reader, writer and handlers, and returns why the link ended, nil after an orderly close.
@@ -141,8 +144,7 @@
 	defer idle.Stop()
 	var late <-chan time.Time
 	var used uint64
-	empty := l.handlers.empty
-	draining, served, finished := false, false, false
+	draining, acked, finished := false, false, false
 	for {
 		select {
 		case err := <-readEnd:
@@ -160,11 +162,10 @@
 			return errFlushed
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-empty:
-			empty = nil
-			served = true
+		case <-l.handlers.ends:
+			l.handlers.ended()
 		case <-l.acked:
-			l.handlers.close()
+			acked = true
 		case <-l.idle:
 		case <-idle.C:
 			now := l.ids.Load()
@@ -179,7 +180,7 @@
 				l.beginDrain()
 			}
 		}
-		if draining && !finished && l.settled(served) {
+		if draining && !finished && l.settled(acked) {
 			finished = true
 			close(l.finish)
 		}
@@ -193,16 +194,15 @@
 	}
 }
 
-// settled reports whether a draining link has no work left; served means that the peer sends no more calls and that the
-// handlers of all its calls have ended.
-func (l *link) settled(served bool) bool {
+// settled reports whether a draining link has no work left.
+func (l *link) settled(acked bool) bool {
 	if l.purpose == control {
 		return true
 	}
 	if l.dialed {
 		return l.outstanding.Load() == 0
 	}
-	return served
+	return acked && l.handlers.running() == 0
 }
 
 // sendUrgent queues a frame without a body and reports whether there was room.
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -223,11 +223,10 @@
 	done := ctx.Done()
 	sweeps := time.NewTicker(sweepInterval)
 	defer sweeps.Stop()
-	empty := l.tasks.empty
-	for empty != nil {
+	for done != nil || l.tasks.running() > 0 {
 		select {
-		case <-empty:
-			empty = nil
+		case <-l.tasks.ends:
+			l.tasks.ended()
 		case c := <-l.changes:
 			l.count(counts, c)
 		case <-sweeps.C:
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -82,24 +82,15 @@
 		l.owner.running.Add(-1)
 		return malformed("two calls with one identifier")
 	}
-	started := l.handlers.start(func() {
-		defer l.served(f.ID, cancel)
+	l.handlers.start(func() {
+		defer l.owner.running.Add(-1)
+		defer cancel()
+		defer l.serving.Delete(f.ID)
 		l.reply(ctx, f.ID, l.owner.server.Serve(handling, c))
 	})
-	if !started {
-		l.served(f.ID, cancel)
-		return malformed("call after the last one")
-	}
 	return nil
 }
 
-// served forgets a call whose handler has ended or was not started.
-func (l *link) served(id uint64, cancel context.CancelFunc) {
-	l.serving.Delete(id)
-	cancel()
-	l.owner.running.Add(-1)
-}
-
 // reply queues the answer to a call; the caller sees a broken link if ctx ends first.
 func (l *link) reply(ctx context.Context, id uint64, a answer.Answer) {
 	buffer := newFrameBuffer(len(a.Body()))
