Wait for the endpoints before a node is ready

Ruled out: a call path that ignores known endpoints. Change: the registrar says once that all subscribed sets were handed over, and the publisher is ready only then.

--- a/mesh/group/group.go
+++ b/mesh/group/group.go
@@ -13,6 +13,9 @@
 	w wire
 }
 
+// Complete says that all groups that the relays know and the node subscribes to were handed over once.
+type Complete struct{}
+
 type wire struct {
 	DataCentre string              `json:"centre" cbor:"1,keyasint"`
 	Service    string              `json:"service" cbor:"2,keyasint"`
--- a/mesh/publisher/publisher.go
+++ b/mesh/publisher/publisher.go
@@ -33,6 +33,8 @@
 type Publisher struct {
 	log     *slog.Logger
 	current atomic.Pointer[snapshot.Snapshot]
+	// complete is set once all endpoints were handed over. A node without them would refuse calls that others can run.
+	complete atomic.Bool
 
 	// mutex guards the fields below, which only Publish uses; calls read current.
 	mutex    sync.Mutex
@@ -80,11 +82,14 @@
 // Snapshot returns the state in force, or nil before the first configuration.
 func (p *Publisher) Snapshot() *snapshot.Snapshot { return p.current.Load() }
 
-// Ready returns nil once a configuration is in force.
+// Ready returns nil once a configuration is in force and the endpoints of its services are known.
 func (p *Publisher) Ready() error {
 	if p.current.Load() == nil {
 		return fault.New(fault.Unavailable, "no configuration is in force on this node", "wait until it has read one from the store or a relay")
 	}
+	if !p.complete.Load() {
+		return fault.New(fault.Unavailable, "the endpoints of the services are not known on this node", "wait until a relay has sent them")
+	}
 	return nil
 }
 
@@ -97,6 +102,8 @@
 		p.publishConfig(v)
 	case group.Group:
 		p.publishGroup(v)
+	case group.Complete:
+		p.complete.Store(true)
 	case verdict.Verdict:
 		p.publishVerdict(v)
 	}
--- a/mesh/publisher/publisher_test.go
+++ b/mesh/publisher/publisher_test.go
@@ -57,6 +57,11 @@
 	if p.Ready() == nil {
 		t.Error("ready with endpoints alone")
 	}
+	p.Publish(configuration(t, 1, share.Share{}, "meldung"))
+	if p.Ready() == nil {
+		t.Error("ready before all endpoints were handed over")
+	}
+	p.Publish(group.Complete{})
 	header := func(string) string { return "" }
 	for _, c := range []struct {
 		version uint64
--- a/mesh/registrar/registrar.go
+++ b/mesh/registrar/registrar.go
@@ -47,6 +47,7 @@
 	owner     *owner
 	archive   *archive
 	bootstrap bootstrap
+	complete  bool // the data path was told that all sets were handed over
 	deputy    *deputy
 
 	last      time.Time // time of the latest step
@@ -89,9 +90,21 @@
 		r.own = r.own[1:]
 		r.receive(now, r.config.Node, m)
 	}
+	if !r.complete && r.synced(now) {
+		r.complete = true
+		r.out = append(r.out, effect.NewPublish(group.Complete{}))
+	}
 	return r.out
 }
 
+// synced reports whether this node holds all sets that its relays know and it subscribes to.
+func (r *Registrar) synced(now time.Time) bool {
+	if r.relay() {
+		return r.reader.known && r.settled(now)
+	}
+	return r.reader.known && r.reader.compared && len(r.reader.differences) == 0
+}
+
 // noticePause resets what silence would prove after the process was paused.
 func (r *Registrar) noticePause(now time.Time) {
 	if !r.last.IsZero() && now.Sub(r.last) > pauseLimit {
--- a/mesh/registrar/subscribe.go
+++ b/mesh/registrar/subscribe.go
@@ -34,6 +34,7 @@
 type reader struct {
 	config      machine.Config
 	known       bool // a configuration is in force
+	compared    bool // a relay has answered the subscription that follows from it
 	depends     []string
 	demanded    map[string]bool
 	interest    *notice.Interest
@@ -84,6 +85,7 @@
 // renew replaces the subscription and plans its sending without delay.
 func (rd *reader) renew(now time.Time) {
 	rd.interest = rd.next()
+	rd.compared = false
 	for _, p := range rd.relays {
 		rd.contacts[p] = &contact{wait: minBackoff, next: now}
 	}
@@ -156,6 +158,7 @@
 	if c := rd.contacts[peer]; c != nil && !c.next.IsZero() {
 		c.end()
 		at = now.Add(-settleTime)
+		rd.compared = rd.known
 	}
 	for scope, sum := range d.Sums() {
 		old, known := rd.differences[scope]
