relayer: count the second relay in the report of its data centre

Cause: the census counts this relay's node and its clients, and the data centre's other relay is neither. Ruled out: the sum in the store; the census already lacked the node. Conclusion: relays state the version in force on their own node in their sync; other encodings stay as they were.

--- a/mesh/relayer/messages.go
+++ b/mesh/relayer/messages.go
@@ -72,6 +72,7 @@
 	Seats     []seat `cbor:"4,keyasint,omitempty"`
 	Refused   uint64 `cbor:"5,keyasint,omitempty"` // newest version whose content is wrong
 	Reason    string `cbor:"6,keyasint,omitempty"`
+	Published uint64 `cbor:"7,keyasint,omitempty"` // in force on the sender's own node
 }
 
 func init() {
--- a/mesh/relayer/peers.go
+++ b/mesh/relayer/peers.go
@@ -23,6 +23,9 @@
 	latest    uint64
 	confirmed uint64
 	digest    uint64
+	published uint64
+	refused   uint64
+	reason    string
 	heard     time.Time
 }
 
@@ -82,6 +85,7 @@
 	for _, address := range r.peerAddresses() {
 		r.send(address, syncKind, &syncing{
 			Refused: refused, Reason: reason, Latest: r.supply.latest.Version(), Confirmed: r.supply.confirmed, Digest: r.supply.latest.Digest(),
+			Published: r.floor.published,
 			Seats: r.table.seats(r.now, func(h *holding) bool {
 				own := h.centre == r.config.DataCentre && h.index == r.seat
 				return own || (regional[address] && whole) || (!regional[address] && h.region == r.config.Region)
@@ -102,6 +106,7 @@
 		s.peers[from] = p
 	}
 	p.latest, p.confirmed, p.digest, p.heard = m.Latest, m.Confirmed, m.Digest, r.now
+	p.published, p.refused, p.reason = m.Published, m.Refused, m.Reason
 	if m.Refused > 0 && !s.refusals[m.Refused] {
 		r.refuse(m.Refused, m.Reason)
 		r.answerFloors()
--- a/mesh/relayer/reports.go
+++ b/mesh/relayer/reports.go
@@ -59,6 +59,12 @@
 		laggards = append(laggards, l)
 	}
 	add(r.config.Node, r.floor.published, r.client.refused, r.client.reason)
+	// The data centre's other relay is no client of this one.
+	if h := r.table.at(r.config.DataCentre, 1-r.seat); h != nil && h.live(r.now) && h.holder != r.config.Node {
+		if p := r.supply.peers[h.holder]; p != nil {
+			add(h.holder, p.published, p.refused, p.reason)
+		}
+	}
 	for _, address := range slices.Sorted(maps.Keys(r.server.clients)) {
 		if c := r.server.clients[address]; c.sub.Centre == r.config.DataCentre {
 			add(address, c.sub.Version, c.sub.Refused, c.sub.Reason)
