--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -75,7 +75,7 @@
 		}
 		r.client.at = r.now.Add(period)
 		for i, a := range r.client.relays {
-			if i == 0 || !r.floor.known || r.now.Sub(r.client.toldAt[a]) >= secondPeriod {
+			if i == 0 || !r.floor.known || r.source.serving || r.now.Sub(r.client.toldAt[a]) >= secondPeriod {
 				r.subscribe(i, false)
 			}
 		}
@@ -86,9 +86,15 @@
 // chooseRelays takes the live relays of the own data centre, or one of the region or elsewhere while there are none.
 func (r *relayer) chooseRelays() {
 	c := &r.client
-	next := addresses(r.table.selectLive(r.now, func(h *holding) bool {
-		return h.centre == r.config.DataCentre && h.holder != r.config.Node
-	}))
+	next := r.liveSources()
+	if len(next) == 0 {
+		next = addresses(r.table.selectLive(r.now, func(h *holding) bool {
+			return h.centre == r.config.DataCentre && h.holder != r.config.Node
+		}))
+		if r.source.serving && half(r.config.Node) > 0 {
+			slices.Reverse(next)
+		}
+	}
 	if len(next) == 0 {
 		next = r.chooseBorrowed()
 	}
@@ -150,9 +156,11 @@
 		m.Digest = 0
 	}
 	address := c.relays[index]
+	r.fill(m, address)
 	if c.told[address] {
 		m.Kept = true
 		m.Centre, m.Service, m.Demanded, m.Refused, m.Reason = "", "", nil, 0, ""
+		m.Sub = false
 	}
 	c.told[address] = true
 	c.toldAt[address] = r.now
@@ -168,6 +176,7 @@
 		return
 	}
 	r.merge(m.Seats)
+	r.mergeVitals(m.Vitals)
 	if h := r.table.touch(from, m.Renewed, r.now); h != nil && h.centre == r.config.DataCentre && h.index < seatCount {
 		r.leases[h.index].Heard(r.now, h.epoch, time.UnixMilli(m.Renewed))
 	}
@@ -219,6 +228,9 @@
 		r.receiveRelayDelta(from, d)
 		return
 	}
+	if r.source.whole {
+		return
+	}
 	c := &r.client
 	resubscribed := d.Version() == c.state.Version() && d.Base() == 0 && d.Digest() != c.state.Digest()
 	if d.Version() <= c.state.Version() && !resubscribed {
@@ -263,7 +275,7 @@
 	slices.Sort(c.demanded)
 	clear(c.told)
 	switch {
-	case r.seat >= 0:
+	case r.seat >= 0 || r.source.whole:
 		r.publish()
 	case len(c.relays) > 0:
 		r.subscribe(0, true)
--- a/mesh/relayer/leases.go
+++ b/mesh/relayer/leases.go
@@ -245,6 +245,7 @@
 // gain starts the work of a relay.
 func (r *relayer) gain(i int) {
 	r.seat = i
+	r.source, r.fanout = source{}, fanout{}
 	r.claim.due = [seatCount]time.Time{}
 	r.claim.renewAt = r.now.Add(renewPeriod)
 	r.claim.attempt, r.claim.marked = 0, 0
--- a/mesh/relayer/messages.go
+++ b/mesh/relayer/messages.go
@@ -14,6 +14,8 @@
 	deltaKind     = "delta"     // relay to client
 	laterKind     = "later"     // relay to client that asked for a whole state above the relay's rate
 	syncKind      = "sync"      // relay to relay
+	redirectKind  = "redirect"  // relay to client of a large data centre
+	feedKind      = "feed"      // relay to sub-relay
 )
 
 // seat is what a node says of one relay lease.
@@ -48,17 +50,40 @@
 	Relay    bool     `cbor:"10,keyasint,omitempty"` // the whole configuration, also before it is confirmed
 	Kept     bool     `cbor:"12,keyasint,omitempty"` // fields 1 to 3, 6 and 7 are as last sent, and left out
 	Stamp    int64    `cbor:"11,keyasint,omitempty"` // milliseconds since the client's start while it needs the floor
+	Sub      bool     `cbor:"13,keyasint,omitempty"` // the sender is a sub-relay
+	Sum      *sum     `cbor:"14,keyasint,omitempty"` // of the sub-relay's clients, when it changed
 }
 
 type pulse struct {
-	Version uint64 `cbor:"1,keyasint,omitempty"` // confirmed on the sender
-	Seats   []seat `cbor:"2,keyasint,omitempty"`
-	Nodes   int    `cbor:"3,keyasint,omitempty"` // nodes of the data centre that the sender hears
-	Stamp   int64  `cbor:"4,keyasint,omitempty"` // of the subscription; set when Floor is known
-	Floor   uint64 `cbor:"5,keyasint,omitempty"`
-	Out     bool   `cbor:"6,keyasint,omitempty"` // the store does not answer the sender
-	Renewed int64  `cbor:"7,keyasint,omitempty"` // of the sender's own lease
-	Again   bool   `cbor:"8,keyasint,omitempty"` // the sender lacks the subscription; send it in full
+	Version uint64  `cbor:"1,keyasint,omitempty"` // confirmed on the sender
+	Seats   []seat  `cbor:"2,keyasint,omitempty"`
+	Nodes   int     `cbor:"3,keyasint,omitempty"` // nodes of the data centre that the sender hears
+	Stamp   int64   `cbor:"4,keyasint,omitempty"` // of the subscription; set when Floor is known
+	Floor   uint64  `cbor:"5,keyasint,omitempty"`
+	Out     bool    `cbor:"6,keyasint,omitempty"` // the store does not answer the sender
+	Renewed int64   `cbor:"7,keyasint,omitempty"` // of the sender's own lease
+	Again   bool    `cbor:"8,keyasint,omitempty"` // the sender lacks the subscription; send it in full
+	Vitals  []vital `cbor:"9,keyasint,omitempty"` // of the data centre's relays; set by sub-relays
+}
+
+// vital is what a sub-relay says of a relay whose address and epoch its clients know.
+type vital struct {
+	Index   int    `cbor:"1,keyasint,omitempty"`
+	Epoch   uint64 `cbor:"2,keyasint"`
+	Age     int64  `cbor:"3,keyasint,omitempty"` // milliseconds since the relay was last heard
+	Renewed int64  `cbor:"4,keyasint,omitempty"` // as in seat
+}
+
+// redirect with neither field set ends the work of a sub-relay.
+type redirect struct {
+	Sources []string `cbor:"1,keyasint,omitempty"` // the sub-relays to subscribe at
+	Serve   bool     `cbor:"2,keyasint,omitempty"` // become a sub-relay
+}
+
+// feed has its own kind because a delta that a relay filtered for a node may still arrive after that node became a
+// sub-relay.
+type feed struct {
+	Delta differ.Delta `cbor:"1,keyasint"`
 }
 
 type later struct {
@@ -83,4 +108,6 @@
 	encoder.Register(deltaKind, func() any { return new(differ.Delta) })
 	encoder.Register(laterKind, func() any { return new(later) })
 	encoder.Register(syncKind, func() any { return new(syncing) })
+	encoder.Register(redirectKind, func() any { return new(redirect) })
+	encoder.Register(feedKind, func() any { return new(feed) })
 }
--- a/mesh/relayer/relayer.go
+++ b/mesh/relayer/relayer.go
@@ -40,6 +40,8 @@
 	finder  finder
 	floor   floor
 	reports reports
+	fanout  fanout
+	source  source
 }
 
 func init() { machine.Register(name, priority, New) }
@@ -94,6 +96,7 @@
 	r.tickClient()
 	r.tickFloor()
 	r.tickServer()
+	r.tickFanout()
 	r.tickReports()
 	r.updateRoster()
 }
@@ -110,6 +113,10 @@
 		r.receivePulse(peer, b)
 	case *differ.Delta:
 		r.receiveDelta(peer, *b)
+	case *feed:
+		r.receiveFeed(peer, b)
+	case *redirect:
+		r.receiveRedirect(peer, b)
 	case *later:
 		r.receiveLater(b)
 	case *syncing:
@@ -121,6 +128,7 @@
 	r.table.unlink(peer, r.now)
 	delete(r.server.clients, peer)
 	r.client.unlinked(peer)
+	r.source.unlinked(peer)
 	r.tickClient()
 	r.updateRoster()
 }
--- a/mesh/relayer/reports.go
+++ b/mesh/relayer/reports.go
@@ -52,11 +52,7 @@
 		if version >= r.newest() || len(laggards) == laggardsLimit {
 			return
 		}
-		l := report.Laggard{Node: address, Version: version}
-		if refused > version {
-			l.Reason = reason
-		}
-		laggards = append(laggards, l)
+		laggards = append(laggards, laggardOf(address, version, refused, reason))
 	}
 	add(r.config.Node, r.floor.published, r.client.refused, r.client.reason)
 	// The data centre's other relay is no client of this one.
@@ -68,6 +64,14 @@
 	for _, address := range slices.Sorted(maps.Keys(r.server.clients)) {
 		if c := r.server.clients[address]; c.sub.Centre == r.config.DataCentre {
 			add(address, c.sub.Version, c.sub.Refused, c.sub.Reason)
+			if c.sum == nil {
+				continue
+			}
+			for version, n := range c.sum.Nodes {
+				nodes[version] += n
+			}
+			room := min(laggardsLimit-len(laggards), len(c.sum.Laggards))
+			laggards = append(laggards, c.sum.Laggards[:room]...)
 		}
 	}
 	return nodes, laggards
--- a/mesh/relayer/server.go
+++ b/mesh/relayer/server.go
@@ -32,6 +32,7 @@
 	changes int // of the table that the subscriber has
 	pulsed  time.Time
 	waits   bool // for the floor
+	sum     *sum // of a sub-relay that has the whole configuration
 }
 
 type deltaKey struct {
@@ -55,7 +56,7 @@
 }
 
 func (r *relayer) tickServer() {
-	if r.seat < 0 {
+	if !r.serves() {
 		return
 	}
 	for address, c := range r.server.clients {
@@ -69,7 +70,7 @@
 }
 
 func (r *relayer) receiveSubscribe(from string, m *subscribe) {
-	if r.seat < 0 {
+	if !r.serves() || (r.seat < 0 && (m.Relay || m.Sub)) {
 		return
 	}
 	if m.Relay {
@@ -94,7 +95,10 @@
 	if !resent || m.Pull {
 		c.version, c.digest = m.Version, m.Digest
 	}
-	c.waits = m.Stamp > 0
+	if m.Sum != nil || !m.Sub {
+		c.sum = m.Sum
+	}
+	c.waits = m.Stamp > 0 && r.seat >= 0
 	if c.waits && !r.answerFloor(from, c) && r.now.Sub(r.watch.readAt) >= floorPeriod {
 		// One read confirms the head for all nodes that wait, so a mass restart does not use up the store budget.
 		r.readHead()
@@ -105,11 +109,13 @@
 	if m.Pull || (m.Push && !resent) {
 		r.push(from, c)
 	}
+	r.redirect(from, c)
 }
 
 // refreshed returns the subscription with the changing fields of a short one.
 func (s subscribe) refreshed(m *subscribe) *subscribe {
 	s.Version, s.Digest, s.Push, s.Pull, s.Stamp = m.Version, m.Digest, m.Push, m.Pull, m.Stamp
+	s.Sum = m.Sum
 	return &s
 }
 
@@ -141,6 +147,10 @@
 		return
 	}
 	c.sent, c.version, c.digest = r.now, target.Version(), d.Digest()
+	if c.sub.Sub {
+		r.send(address, feedKind, &feed{Delta: *d})
+		return
+	}
 	r.send(address, deltaKind, d)
 }
 
@@ -185,7 +195,7 @@
 	r.server.pulsedAt = r.now
 	for _, address := range slices.Sorted(maps.Keys(r.server.clients)) {
 		c := r.server.clients[address]
-		if c.sub.Push || r.now.Sub(c.pulsed) >= secondPulse {
+		if c.sub.Push || c.sub.Sub || r.seat < 0 || r.now.Sub(c.pulsed) >= secondPulse {
 			r.pulse(address, c)
 		}
 	}
@@ -205,6 +215,9 @@
 	p := &pulse{
 		Version: r.supply.confirmed, Nodes: r.fleet(), Out: r.store.out, Renewed: r.lease().Record().Renewed().UnixMilli(),
 	}
+	if r.seat < 0 {
+		p.Renewed, p.Out, p.Vitals = 0, r.floor.out, r.vitals()
+	}
 	if whole {
 		p.Seats = r.table.seats(r.now, func(h *holding) bool {
 			if h.centre == r.config.DataCentre || h.centre == c.sub.Centre {
@@ -216,12 +229,15 @@
 	r.send(address, pulseKind, p)
 }
 
-// fleet returns the number of nodes of the data centre that this relay hears, with itself.
+// fleet returns the number of nodes of the data centre that this relay hears, itself or through sub-relays, with itself.
 func (r *relayer) fleet() int {
+	if r.seat < 0 {
+		return r.claim.fleet
+	}
 	n := 1
 	for _, c := range r.server.clients {
 		if c.sub.Centre == r.config.DataCentre {
-			n++
+			n += 1 + c.sum.total()
 		}
 	}
 	return n
