relayer: test sub-relays; mark deltas of the whole configuration

Cause: a delta that was filtered for a client and arrived after that node became a relay was taken for the whole configuration (TestFilteredDelta: version 2 taken before, ignored after). The next change then sent the whole configuration to that relay and through it to all its sub-relays. Ruled out: a base that the gateway lacks; it had the base, but the digest of the new relay's state differed. Sub-relays whose filtered state equals the whole one got no feed; they now ask for the whole. Conclusion: relays and sub-relays take the configuration from messages of kind feed only.

--- a/mesh/relayer/client.go
+++ b/mesh/relayer/client.go
@@ -224,11 +224,8 @@
 }
 
 func (r *relayer) receiveDelta(from string, d differ.Delta) {
-	if r.seat >= 0 {
-		r.receiveRelayDelta(from, d)
-		return
-	}
-	if r.source.whole {
+	if r.seat >= 0 || r.source.whole {
+		// The delta was filtered for this node before it began to serve others.
 		return
 	}
 	c := &r.client
--- a/mesh/relayer/fanout.go
+++ b/mesh/relayer/fanout.go
@@ -250,6 +250,8 @@
 	}
 	m.Sub, m.Service, m.Demanded = true, "", nil
 	if !s.whole {
+		// The state so far is filtered, and without dependencies its digest does not differ from that of the whole.
+		m.Digest = 0
 		return
 	}
 	next := r.count()
@@ -290,11 +292,15 @@
 	return l
 }
 
-// receiveFeed takes a delta of the whole configuration, which a relay sends only to sub-relays.
+// receiveFeed takes a delta of the whole configuration, which a relay sends only to other relays and to sub-relays.
 func (r *relayer) receiveFeed(from string, m *feed) {
 	c := &r.client
 	d := m.Delta
-	if r.seat >= 0 || !r.source.serving || d.Version() < c.state.Version() {
+	if r.seat >= 0 {
+		r.receiveRelayDelta(from, d)
+		return
+	}
+	if !r.source.serving || d.Version() < c.state.Version() {
 		return
 	}
 	if d.Version() == c.state.Version() && (r.source.whole || d.Base() != 0) {
--- a/mesh/relayer/fleet_test.go
+++ b/mesh/relayer/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	cut       map[string]bool // regions without contact to the others
 	faults    []string
 	frozen    []string
+	killed    []string            // by the step "kill"
+	machines  map[string]*relayer // of each node's present life, in a fleet of newLargeFleet
 }
 
 var (
@@ -33,6 +36,32 @@
 )
 
 func newFleet(t testing.TB, seed uint64, build func(machine.Config) *controller.Controller) *fleet {
+	return newFleetOf(t, seed, build, allCentres(), 3)
+}
+
+func allCentres() []string {
+	var centres []string
+	for _, region := range regions {
+		centres = append(centres, region+"-a", region+"-b")
+	}
+	return centres
+}
+
+// newLargeFleet is a fleet with enough nodes in each data centre for sub-relays.
+func newLargeFleet(t testing.TB, seed uint64, centres []string, size int) *fleet {
+	machines := map[string]*relayer{}
+	f := newFleetOf(t, seed, func(c machine.Config) *controller.Controller {
+		machines[c.Node] = New(c).(*relayer)
+		return &controller.Controller{Machines: []machine.Machine{machines[c.Node]}}
+	}, centres, size)
+	f.machines = machines
+	return f
+}
+
+// newFleetOf is a fleet of the given data centres with size nodes each.
+func newFleetOf(
+	t testing.TB, seed uint64, build func(machine.Config) *controller.Controller, centres []string, size int,
+) *fleet {
 	f := &fleet{
 		t: t, sim: simulator.New(seed, regions[0]), published: map[string]uint64{}, forced: map[string]config.Config{},
 		when: map[string]time.Time{}, cut: map[string]bool{},
@@ -44,19 +73,15 @@
 	f.sim.Cut = func(a, b string) bool { return a != b && (f.cut[a] || f.cut[b]) }
 	f.accept(nil)
 	var seeds []string
-	for _, region := range regions {
-		for _, side := range []string{"a", "b"} {
-			seeds = append(seeds, fmt.Sprintf("%s-%s-0", region, side))
-		}
-	}
-	for _, region := range regions {
-		for _, side := range []string{"a", "b"} {
-			for i := range 3 {
-				dc := region + "-" + side
-				f.sim.Add(machine.Config{
-					Node: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc, Region: region, Service: services[i], Version: "1", Seeds: seeds,
-				})
-			}
+	for _, dc := range centres {
+		seeds = append(seeds, dc+"-0")
+	}
+	for _, dc := range centres {
+		for i := range size {
+			f.sim.Add(machine.Config{
+				Node: fmt.Sprintf("%s-%d", dc, i), DataCentre: dc, Region: strings.SplitN(dc, "-", 2)[0],
+				Service: services[i%len(services)], Version: "1", Seeds: seeds,
+			})
 		}
 	}
 	return f
--- a/mesh/relayer/messages.go
+++ b/mesh/relayer/messages.go
@@ -15,7 +15,7 @@
 	laterKind     = "later"     // relay to client that asked for a whole state above the relay's rate
 	syncKind      = "sync"      // relay to relay
 	redirectKind  = "redirect"  // relay to client of a large data centre
-	feedKind      = "feed"      // relay to sub-relay
+	feedKind      = "feed"      // relay to relay or sub-relay: a delta of the whole configuration
 )
 
 // seat is what a node says of one relay lease.
@@ -81,7 +81,7 @@
 }
 
 // feed has its own kind because a delta that a relay filtered for a node may still arrive after that node became a
-// sub-relay.
+// relay or a sub-relay, which would then serve a part of the configuration as the whole.
 type feed struct {
 	Delta differ.Delta `cbor:"1,keyasint"`
 }
--- a/mesh/relayer/messages_test.go
+++ b/mesh/relayer/messages_test.go
@@ -9,13 +9,19 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"wisteriaspoke.example/mesh/differ"
 	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/message"
+	"wisteriaspoke.example/mesh/report"
 )
 
 // TestMessages guards against a change of an encoding that nodes of another release could not read.
 func TestMessages(t *testing.T) {
 	seats := []seat{{Centre: "obb-a", Region: "obb", Index: 1, Holder: "10.0.0.1:7000", Epoch: 3, Renewed: 1_000_000, Age: 40}}
+	whole, err := differ.New(7, "ordinary", nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
 	bodies := []struct {
 		kind string
 		body any
@@ -33,6 +39,17 @@
 		{pulseKind, &pulse{Again: true}},
 		{laterKind, &later{Wait: 450}},
 		{syncKind, &syncing{Latest: 8, Confirmed: 7, Digest: 0xfeed, Seats: seats, Refused: 9, Reason: "missing"}},
+		{syncKind, &syncing{Latest: 8, Confirmed: 7, Digest: 0xfeed, Published: 7}},
+		{subscribeKind, &subscribe{Centre: "obb-a", Version: 7, Digest: 0xfeed, Push: true, Sub: true, Sum: &sum{
+			Nodes: map[uint64]int{6: 1, 7: 28}, Laggards: []report.Laggard{{Node: "10.0.0.2:7000", Version: 6, Reason: "missing"}},
+		}}},
+		{pulseKind, &pulse{Version: 7, Nodes: 860, Vitals: []vital{
+			{Epoch: 3, Age: 400, Renewed: 1_000_000}, {Index: 1, Epoch: 5, Age: 900, Renewed: 1_000_000},
+		}}},
+		{redirectKind, &redirect{Sources: []string{"10.0.0.3:7000", "10.0.0.4:7000"}}},
+		{redirectKind, &redirect{Serve: true}},
+		{redirectKind, &redirect{}},
+		{feedKind, &feed{Delta: differ.Between(differ.State{}, whole)}},
 	}
 	var out strings.Builder
 	for i, b := range bodies {
--- a/mesh/relayer/scenario_test.go
+++ b/mesh/relayer/scenario_test.go
@@ -80,6 +80,7 @@
 	case "kill":
 		for _, n := range f.named(arg(1), w[2:]) {
 			f.sim.Kill(n)
+			f.killed = append(f.killed, n)
 		}
 	case "kill-others":
 		for _, n := range f.sim.Nodes() {
@@ -115,6 +116,12 @@
 			f.t.Fatal(err)
 		}
 		f.sim.Store().Lose = share
+	case "fan-out":
+		f.requireFanout()
+	case "counted":
+		f.requireCounted()
+	case "restart-killed":
+		f.sim.Restart(f.killed[len(f.killed)-1])
 	case "leases":
 		f.requireLeases()
 	default:
@@ -130,13 +137,23 @@
 	return d
 }
 
-// named returns the nodes that a step names: "relay <dc> <index>", "relays <dc>", "gateway <region>", "half", "all",
+// named returns the nodes that a step names, in a large fleet also "sub <dc>", "subs <dc>", "half-subs-and-relay <dc>"
+// and "leaf <dc>": "relay <dc> <index>", "relays <dc>", "gateway <region>", "half", "all",
 // "node <address>", "centre <dc>".
 func (f *fleet) named(what string, args []string) []string {
 	f.t.Helper()
 	switch what {
 	case "relay":
 		return []string{f.holder(args[0], int(args[1][0]-'0'))}
+	case "subs":
+		return f.subs(args[0])
+	case "sub":
+		return f.subs(args[0])[:1]
+	case "half-subs-and-relay":
+		ss := f.subs(args[0])
+		return append(ss[:(len(ss)+1)/2], f.holder(args[0], 0))
+	case "leaf":
+		return f.leaf(args[0])
 	case "relays":
 		return []string{f.holder(args[0], 0), f.holder(args[0], 1)}
 	case "gateway":
--- a/mesh/relayer/server.go
+++ b/mesh/relayer/server.go
@@ -128,8 +128,7 @@
 	if !ok || base.Digest() != m.Digest {
 		base = differ.State{}
 	}
-	d := differ.Between(base, latest)
-	r.send(from, deltaKind, &d)
+	r.send(from, feedKind, &feed{Delta: differ.Between(base, latest)})
 }
 
 // push sends the subscriber what it lacks of the confirmed state.
