relayer: end the exchange of answers between relays of large fleets

Cause: relays that exchanged syncs once at the start answered each other for ever, 42 syncs/s at one gateway with 20 relays; and sub-relays named up to 20 laggards after each change, before the next heartbeats of their clients. Ruled out: the change for all sizes; with 18 nodes the planted fault 'publishes before the floor is known' of TestOracle was then not exposed. It applies only above fanoutThreshold, where the messages of small fleets stay as they were.

--- a/mesh/relayer/fanout.go
+++ b/mesh/relayer/fanout.go
@@ -24,6 +24,9 @@
 	// fanoutPeriod is how often a relay compares the number of sub-relays with that of nodes.
 	fanoutPeriod = time.Second
 	sourceCount  = 2
+	// laggardGrace is how long a sub-relay has a version before it names the clients that lack it; before their next
+	// heartbeats it would name them all after each change.
+	laggardGrace = 2 * subscribePeriod
 )
 
 // sum is what a sub-relay counted of its clients that take their deltas from it.
@@ -53,9 +56,10 @@
 type source struct {
 	addresses []string // of this node's sub-relays
 	since     time.Time
-	ask       backoff // for other sub-relays while one is missing
-	serving   bool    // this node is a sub-relay
-	whole     bool    // this sub-relay has the whole configuration
+	ask       backoff   // for other sub-relays while one is missing
+	serving   bool      // this node is a sub-relay
+	whole     bool      // this sub-relay has the whole configuration
+	applied   time.Time // when this sub-relay last took a version
 	sent      map[string]*sum
 }
 
@@ -267,9 +271,9 @@
 // count sums the clients that take their deltas from this sub-relay; each node takes them from one.
 func (r *relayer) count() *sum {
 	s := &sum{Nodes: map[uint64]int{}}
-	newest := r.client.state.Version()
-	for _, v := range r.client.newest {
-		newest = max(newest, v)
+	newest := uint64(0)
+	if r.now.Sub(r.source.applied) >= laggardGrace {
+		newest = r.client.state.Version()
 	}
 	for _, address := range slices.Sorted(maps.Keys(r.server.clients)) {
 		c := r.server.clients[address]
@@ -313,6 +317,7 @@
 	}
 	// The digest of the delta is that of the whole configuration, so the state is whole.
 	c.whole, c.lagging, c.state = false, time.Time{}, state
+	r.source.applied = r.now
 	if !r.source.whole {
 		r.source.whole = true
 		c.at = r.now
--- a/mesh/relayer/messages.go
+++ b/mesh/relayer/messages.go
@@ -98,6 +98,7 @@
 	Refused   uint64 `cbor:"5,keyasint,omitempty"` // newest version whose content is wrong
 	Reason    string `cbor:"6,keyasint,omitempty"`
 	Published uint64 `cbor:"7,keyasint,omitempty"` // in force on the sender's own node
+	Reply     bool   `cbor:"8,keyasint,omitempty"` // the receiver is no peer of the sender's own choice
 }
 
 func init() {
--- a/mesh/relayer/peers.go
+++ b/mesh/relayer/peers.go
@@ -27,6 +27,7 @@
 	refused   uint64
 	reason    string
 	heard     time.Time
+	called    time.Time // last heard without Reply, so that large fleets do not answer answers for ever
 }
 
 func (r *relayer) tickPeers() {
@@ -40,8 +41,8 @@
 	r.catchUp()
 }
 
-// peerAddresses returns the relays to keep in touch with.
-func (r *relayer) peerAddresses() []string {
+// peerAddresses returns the relays to keep in touch with; the value is false for those that are only answered.
+func (r *relayer) peerAddresses() map[string]bool {
 	set := map[string]bool{}
 	for _, h := range r.regionPeers() {
 		set[h.holder] = true
@@ -55,12 +56,12 @@
 		}
 	}
 	for address, p := range r.supply.peers {
-		if r.now.Sub(p.heard) < callerTimeout {
-			set[address] = true
+		if r.now.Sub(p.called) < callerTimeout && !set[address] {
+			set[address] = false
 		}
 	}
 	delete(set, r.config.Node)
-	return slices.Sorted(maps.Keys(set))
+	return set
 }
 
 // syncAll tells the other relays which version and lease this one has.
@@ -82,8 +83,10 @@
 	if r.supply.refusals[r.supply.refused] && r.supply.refused > r.supply.latest.Version() {
 		refused, reason = r.supply.refused, r.supply.reason
 	}
-	for _, address := range r.peerAddresses() {
+	peers := r.peerAddresses()
+	for _, address := range slices.Sorted(maps.Keys(peers)) {
 		r.send(address, syncKind, &syncing{
+			Reply:   !peers[address] && r.fleet() > fanoutThreshold,
 			Refused: refused, Reason: reason, Latest: r.supply.latest.Version(), Confirmed: r.supply.confirmed, Digest: r.supply.latest.Digest(),
 			Published: r.floor.published,
 			Seats: r.table.seats(r.now, func(h *holding) bool {
@@ -106,6 +109,9 @@
 		s.peers[from] = p
 	}
 	p.latest, p.confirmed, p.digest, p.heard = m.Latest, m.Confirmed, m.Digest, r.now
+	if !m.Reply {
+		p.called = r.now
+	}
 	p.published, p.refused, p.reason = m.Published, m.Refused, m.Reason
 	if m.Refused > 0 && !s.refusals[m.Refused] {
 		r.refuse(m.Refused, m.Reason)
