--- a/mesh/admitter/bounds.go
+++ b/mesh/admitter/bounds.go
@@ -12,9 +12,7 @@
 	// maxDropped bounds how much of a refused call's body is read and dropped.
 	maxDropped = 4 * maxBody
 	// buffered is how much of a body is read before the bounds are checked.
-	buffered = 64 << 10
-	// firstRoom bounds the memory taken for a body before any of it came, as a caller may announce more than it sends.
-	firstRoom      = 128 << 10
+	buffered       = 64 << 10
 	maxConnections = 4096
 	// maxCalls bounds the calls in flight through this node; today's endpoints have 130 connections each.
 	maxCalls = 1024
--- a/mesh/admitter/handle.go
+++ b/mesh/admitter/handle.go
@@ -1,7 +1,6 @@
 package admitter
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/bodyreader"
 	"wisteriaspoke.example/mesh/call"
 )
 
@@ -198,7 +198,7 @@
 		return append([]byte(nil), q.Body()...), nil
 	}
 	length := q.Header.ContentLength()
-	body, err := readAll(stream, length)
+	body, err := bodyreader.Read(stream, length, maxBody)
 	if err != nil {
 		return nil, err
 	}
@@ -209,17 +209,6 @@
 	return body, nil
 }
 
-// readAll reads the stream to its end; a length, if there is one, tells the room for it.
-func readAll(stream io.Reader, length int) ([]byte, error) {
-	stream = io.LimitReader(stream, maxBody+1)
-	if length <= 0 || length > firstRoom {
-		return io.ReadAll(stream)
-	}
-	b := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
-	_, err := b.ReadFrom(stream)
-	return b.Bytes(), err
-}
-
 // endToEnd returns the headers to pass on: neither the mesh's own nor those of the connection.
 func endToEnd(h *fasthttp.RequestHeader) []call.Header {
 	named := string(h.Peek("Connection"))
--- a/mesh/dispatcher/client.go
+++ b/mesh/dispatcher/client.go
@@ -1,10 +1,8 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -15,14 +13,13 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/bodyreader"
 	"wisteriaspoke.example/mesh/call"
 )
 
 const (
 	// maxBody bounds a response, which is held whole until its end is seen.
 	maxBody = 8 << 20
-	// firstRoom bounds the memory taken for a body before any of it came, as an upstream may announce more than it sends.
-	firstRoom = 128 << 10
 	// maxHeader bounds the headers of a response.
 	maxHeader = 64 << 10
 	dialLimit = time.Second
@@ -166,7 +163,7 @@
 	if stream == nil {
 		return nil, nil
 	}
-	body, err := readAll(stream, length)
+	body, err := bodyreader.Read(stream, length, maxBody)
 	if err != nil {
 		return nil, err
 	}
@@ -176,17 +173,6 @@
 	return body, p.CloseBodyStream()
 }
 
-// readAll reads the stream to its end; a length, if there is one, tells the room for it.
-func readAll(stream io.Reader, length int) ([]byte, error) {
-	stream = io.LimitReader(stream, maxBody+1)
-	if length <= 0 || length > firstRoom {
-		return io.ReadAll(stream)
-	}
-	b := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
-	_, err := b.ReadFrom(stream)
-	return b.Bytes(), err
-}
-
 // connectionHeaders belong to one connection and are not passed on, by RFC 9110, section 7.6.1.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
