--- a/mesh/kernel/main.go
+++ b/mesh/kernel/main.go
@@ -28,7 +28,6 @@
 // Main parses the settings of all registered parts, runs the program until SIGINT or SIGTERM, and returns its exit code.
 func Main(name, description string) int {
 	k := New()
-	var c common
 	plugins := kong.Plugins{}
 	for _, n := range k.parts {
 		plugins = append(plugins, n.part)
@@ -47,21 +46,20 @@
 		fmt.Fprintf(os.Stderr, "%s: %v; see --help\n", name, err)
 		return exitInvalid
 	}
-	c = cli.common
 	if err := k.Check(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: settings are invalid:\n%v\n", name, err)
 		return exitInvalid
 	}
-	if c.Check {
+	if cli.Check {
 		fmt.Println("settings are valid")
 		return exitOK
 	}
 	var level slog.Level
-	if err := level.UnmarshalText([]byte(c.Level)); err != nil {
+	if err := level.UnmarshalText([]byte(cli.Level)); err != nil {
 		return exitInvalid
 	}
 	k.Log = slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("program", name)
-	k.DrainLimit = c.Drain
+	k.DrainLimit = cli.Drain
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := k.Run(ctx); err != nil {
