--- a/mesh/relayer/relayer.go
+++ b/mesh/relayer/relayer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wisteriaspoke.example/mesh/differ"
 	"wisteriaspoke.example/mesh/effect"
 	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/event"
@@ -10,8 +11,6 @@
 	"wisteriaspoke.example/mesh/machine"
 	"wisteriaspoke.example/mesh/message"
 	"wisteriaspoke.example/mesh/roster"
-
-	"wisteriaspoke.example/mesh/differ"
 )
 
 const (
