suspecter, roller/trial: remove functions that nothing calls

Order sorted evidence, but the verdicts do not depend on its order; InTime was an accessor of what Done already reports. Behaviour is unchanged.

--- a/mesh/roller/trial/report.go
+++ b/mesh/roller/trial/report.go
@@ -54,9 +54,6 @@
 // Took returns the time from the request to the end.
 func (r Report) Took() time.Duration { return r.took }
 
-// InTime reports whether the rollout ended by its deadline.
-func (r Report) InTime() bool { return r.inTime }
-
 // Done reports whether the rollout was done by its deadline.
 func (r Report) Done() bool { return r.inTime && r.rollout.State() == rollout.Done }
 
--- a/mesh/suspecter/suspecter.go
+++ b/mesh/suspecter/suspecter.go
@@ -1,10 +1,6 @@
 package suspecter
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Limits of silence. Heartbeats come each second, so that suspicion needs two lost ones and a drop five.
 const (
@@ -108,8 +104,3 @@
 	}
 	return verdicts
 }
-
-// Order sorts evidence by address, so that decisions do not depend on the order of a map.
-func Order(evidence []Evidence) {
-	slices.SortFunc(evidence, func(a, b Evidence) int { return cmp.Compare(a.address, b.address) })
-}
