linker: probe links only while something depends on them

Cause: links pinged each other all the time, so that a mesh of N nodes sent N squared probes; on the platform bytes between regions are paid for. Change: a link is probed while calls wait on it, or when a control link has been quiet; the interval, the silence, the limit of a dial and the longest pause between dials are settings. A large frame counts as a sign of life while it arrives.

--- a/mesh/linker/connect.go
+++ b/mesh/linker/connect.go
@@ -19,10 +19,10 @@
 	if l.closed.Load() {
 		return nil, fault.New(fault.Unavailable, "this node is stopping", "")
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, l.LinkDial)
 	defer cancel()
 	d := websocket.Dialer{
-		HandshakeTimeout: dialTimeout, EnableCompression: true,
+		HandshakeTimeout: l.LinkDial, EnableCompression: true,
 		WriteBufferSize: writeBuffer, WriteBufferPool: &writeBuffers,
 	}
 	scheme := "ws"
--- a/mesh/linker/hello.go
+++ b/mesh/linker/hello.go
@@ -130,7 +130,7 @@
 
 func receiveBody(c *websocket.Conn, t frameType, generation uint64, body any) error {
 	c.SetReadDeadline(time.Now().Add(handshakeTimeout))
-	data, err := readMessage(c, helloLimit, new(bytes.Buffer))
+	data, err := readMessage(c, helloLimit, func() {}, new(bytes.Buffer))
 	if err != nil {
 		return err
 	}
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -20,9 +20,6 @@
 	// compressFrom keeps small frames uncompressed, where deflate saves little.
 	compressFrom = 1 << 10
 	queueSize    = 256
-	// pingInterval and readTimeout detect a peer that vanished without closing its connections.
-	pingInterval = 5 * time.Second
-	readTimeout  = 15 * time.Second
 	// writeTimeout closes links to peers that no longer read.
 	writeTimeout = 10 * time.Second
 	closeTimeout = time.Second
@@ -72,6 +69,9 @@
 	serving     sync.Map     // uint64 -> context.CancelFunc
 	handlers    *group
 
+	heard  atomic.Int64 // when something last arrived, Unix nanoseconds
+	probed time.Time    // when the unanswered probe was sent; belongs to the writer
+
 	drain  chan struct{} // asks run to close in order
 	acked  chan struct{} // the peer sends no more calls
 	idle   chan struct{} // outstanding fell to zero while closing
@@ -80,7 +80,7 @@
 }
 
 func newLink(owner *Linker, p *peer, c *websocket.Conn, why purpose, dialed bool, generation uint64, region string) *link {
-	return &link{
+	l := &link{
 		owner: owner, peer: p, conn: c, purpose: why, dialed: dialed, generation: generation,
 		compress: region != owner.region,
 		queue:    make(chan outgoing, queueSize),
@@ -92,6 +92,8 @@
 		finish:   make(chan struct{}),
 		ended:    make(chan struct{}),
 	}
+	l.hear()
+	return l
 }
 
 // signal sends on a channel of capacity 1 unless a value already waits there.
@@ -235,7 +237,7 @@
 }
 
 func (l *link) write(ctx context.Context) error {
-	ping := time.NewTicker(pingInterval)
+	ping := time.NewTicker(l.owner.LinkPing)
 	defer ping.Stop()
 	last := false
 	for {
@@ -244,7 +246,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ping.C:
-			if err := l.conn.WriteControl(websocket.PingMessage, nil, time.Now().Add(writeTimeout)); err != nil {
+			if err := l.probe(time.Now()); err != nil {
 				return err
 			}
 			continue
@@ -264,6 +266,37 @@
 	}
 }
 
+// probe asks the peer for a sign of life if something depends on the link and nothing has arrived for a while, and
+// returns a fault if an earlier question had no answer. Idle connections for calls are left alone: probing them costs
+// more than what they carry.
+func (l *link) probe(now time.Time) error {
+	if l.purpose == calls && l.outstanding.Load() == 0 {
+		l.probed = time.Time{}
+		return nil
+	}
+	heard := time.Unix(0, l.heard.Load())
+	if l.probed.Before(heard) {
+		l.probed = time.Time{}
+	}
+	patience := l.owner.LinkPing
+	if l.purpose == control {
+		// Messages come at least as often as this, as long as both ends live.
+		patience = l.owner.LinkSilence
+	}
+	switch {
+	case l.probed.IsZero() && now.Sub(heard) < patience:
+		return nil
+	case l.probed.IsZero():
+		l.probed = now
+	case now.Sub(l.probed) > l.owner.LinkSilence:
+		return fault.New(fault.Unavailable, "nothing has arrived on the link since "+now.Sub(heard).String(), "")
+	}
+	return l.conn.WriteControl(websocket.PingMessage, nil, now.Add(writeTimeout))
+}
+
+// hear notes that something has arrived.
+func (l *link) hear() { l.heard.Store(time.Now().UnixNano()) }
+
 // flush writes what is queued and the close message.
 func (l *link) flush() error {
 	for {
@@ -304,7 +337,7 @@
 
 // readMessage returns one binary message of at most limit bytes, counted after decompression; it is valid until the
 // buffer's next use.
-func readMessage(c *websocket.Conn, limit int64, buffer *bytes.Buffer) ([]byte, error) {
+func readMessage(c *websocket.Conn, limit int64, hear func(), buffer *bytes.Buffer) ([]byte, error) {
 	c.SetReadLimit(limit)
 	kind, r, err := c.NextReader()
 	if err != nil {
@@ -314,7 +347,7 @@
 		return nil, malformed("text message")
 	}
 	buffer.Reset()
-	n, err := buffer.ReadFrom(io.LimitReader(r, limit+1))
+	n, err := buffer.ReadFrom(io.LimitReader(listener{r, hear}, limit+1))
 	if err != nil {
 		return nil, tooLarge(err)
 	}
@@ -324,6 +357,18 @@
 	return buffer.Bytes(), nil
 }
 
+// listener reports each piece of a message, as a large one on a slow way takes long to arrive whole.
+type listener struct {
+	io.Reader
+	hear func()
+}
+
+func (r listener) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.hear()
+	return n, err
+}
+
 func tooLarge(err error) error {
 	if !errors.Is(err, websocket.ErrReadLimit) {
 		return err
@@ -332,14 +377,18 @@
 }
 
 func (l *link) read(ctx context.Context) error {
-	l.conn.SetPongHandler(func(string) error { return l.conn.SetReadDeadline(time.Now().Add(readTimeout)) })
+	// The deadline of the handshake ends here; silence is noticed by probes.
+	l.conn.SetReadDeadline(time.Time{})
+	l.conn.SetPongHandler(func(string) error {
+		l.hear()
+		return nil
+	})
 	buffer := new(bytes.Buffer)
 	for {
-		l.conn.SetReadDeadline(time.Now().Add(readTimeout))
 		if buffer.Cap() > keptBuffer {
 			buffer = new(bytes.Buffer)
 		}
-		data, err := readMessage(l.conn, l.limit(), buffer)
+		data, err := readMessage(l.conn, l.limit(), l.hear, buffer)
 		if err != nil {
 			return err
 		}
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -26,10 +26,21 @@
 
 func init() {
 	kernel.Register("linker", 30, func() kernel.Part {
-		return &Linker{now: time.Now, random: rand.Float64}
+		return &Linker{
+			LinkPing: defaultPing, LinkSilence: defaultSilence, LinkDial: defaultDial, LinkRetry: defaultRetry,
+			now: time.Now, random: rand.Float64,
+		}
 	})
 }
 
+// Defaults of the settings: a peer that vanished without closing its connections is noticed after three probes.
+const (
+	defaultPing    = 5 * time.Second
+	defaultSilence = 15 * time.Second
+	defaultDial    = 2 * time.Second
+	defaultRetry   = 5 * time.Second
+)
+
 // sweepInterval keeps a peer's state for one to two minutes after its last use.
 const sweepInterval = time.Minute
 
@@ -76,6 +87,11 @@
 	LinkKey   string `help:"File with the certificate's key, in PEM." placeholder:"FILE" env:"WISTERIASPOKE_LINK_KEY"`
 	LinkCA    string `name:"link-ca" help:"File with the authorities that sign other nodes' certificates, in PEM." placeholder:"FILE" env:"WISTERIASPOKE_LINK_CA"`
 
+	LinkPing    time.Duration `help:"Interval of probes on links." default:"5s" env:"WISTERIASPOKE_LINK_PING"`
+	LinkSilence time.Duration `help:"A link on which nothing arrives for this long is closed." default:"15s" env:"WISTERIASPOKE_LINK_SILENCE"`
+	LinkDial    time.Duration `help:"Limit for opening a link." default:"2s" env:"WISTERIASPOKE_LINK_DIAL"`
+	LinkRetry   time.Duration `help:"Longest pause between two attempts to open a link." default:"5s" env:"WISTERIASPOKE_LINK_RETRY"`
+
 	now    func() time.Time
 	random func() float64
 
@@ -121,6 +137,12 @@
 	if l.LinkCalls < 1 {
 		errs = append(errs, fault.New(fault.Invalid, fmt.Sprintf("--link-calls is %d", l.LinkCalls), "set it to 1 or more"))
 	}
+	if l.LinkPing < 0 || l.LinkSilence < 2*l.LinkPing {
+		errs = append(errs, fault.New(fault.Invalid, fmt.Sprintf("--link-ping is %v and --link-silence %v", l.LinkPing, l.LinkSilence), "set the silence to twice the interval or more"))
+	}
+	if l.LinkDial < 0 || l.LinkRetry < 0 {
+		errs = append(errs, fault.New(fault.Invalid, fmt.Sprintf("--link-dial is %v and --link-retry %v", l.LinkDial, l.LinkRetry), "set both above 0, for example 2s"))
+	}
 	set := 0
 	for _, file := range []string{l.LinkCert, l.LinkKey, l.LinkCA} {
 		if file != "" {
--- a/mesh/linker/peer.go
+++ b/mesh/linker/peer.go
@@ -14,11 +14,9 @@
 	// callLinks bounds the call connections to one peer; the second one keeps a large body from delaying all calls.
 	callLinks = 2
 	// busyLink is the number of outstanding calls on each connection from which another one is dialed.
-	busyLink    = 8
-	boxSize     = 128
-	backoffMin  = 50 * time.Millisecond
-	backoffMax  = 5 * time.Second
-	dialTimeout = 2 * time.Second
+	busyLink   = 8
+	boxSize    = 128
+	backoffMin = 50 * time.Millisecond
 	// messageAge bounds how long a message waits for a connection; machines repeat what still matters.
 	messageAge = 10 * time.Second
 )
@@ -139,7 +137,7 @@
 // failed sets the end of the back-off: doubling, with a random half so that peers do not dial in step.
 func (p *peer) failed() {
 	n := min(p.failures.Add(1)-1, 10)
-	delay := min(backoffMin<<n, backoffMax)
+	delay := min(backoffMin<<n, p.owner.LinkRetry)
 	delay = delay/2 + time.Duration(p.owner.random()*float64(delay/2))
 	p.retryAt.Store(p.owner.now().Add(delay).UnixNano())
 }
