--- a/mesh/kernel/main.go
+++ b/mesh/kernel/main.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"wisteriaspoke.example/mesh/logger"
 )
 
 // Exit codes of a program.
@@ -25,8 +27,9 @@
 	Drain time.Duration `help:"Limit of a graceful shutdown." default:"10s" env:"WISTERIASPOKE_DRAIN"`
 }
 
-// Main parses the settings of all registered parts, runs the program until SIGINT or SIGTERM, and returns its exit code.
-func Main(name, description string) int {
+// Main parses the settings of all registered parts from the arguments and the environment, runs the program until SIGINT
+// or SIGTERM, and returns its exit code.
+func Main(name, description string, args []string) int {
 	k := New()
 	plugins := kong.Plugins{}
 	for _, n := range k.parts {
@@ -42,7 +45,7 @@
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return exitFailed
 	}
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
+	if _, err := parser.Parse(args); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v; see --help\n", name, err)
 		return exitInvalid
 	}
@@ -58,7 +61,9 @@
 	if err := level.UnmarshalText([]byte(cli.Level)); err != nil {
 		return exitInvalid
 	}
-	k.Log = slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("program", name)
+	lines := logger.New(os.Stdout, level)
+	defer lines.Close()
+	k.Log = slog.New(lines).With("program", name)
 	k.DrainLimit = cli.Drain
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/node/main.go
+++ b/node/main.go
@@ -21,5 +21,5 @@
 )
 
 func main() {
-	os.Exit(kernel.Main("wisteriaspoke-node", "Proxies calls and distributes configuration beside one upstream."))
+	os.Exit(kernel.Main("wisteriaspoke-node", "Proxies calls and distributes configuration beside one upstream.", os.Args[1:]))
 }
--- a/objects/main.go
+++ b/objects/main.go
@@ -14,5 +14,5 @@
 
 func main() {
 	const description = "In-memory object store that follows the conventions of the Kubernetes API."
-	os.Exit(kernel.Main("wisteriaspoke-objects", description))
+	os.Exit(kernel.Main("wisteriaspoke-objects", description, os.Args[1:]))
 }
