--- a/mesh/answer/answer.go
+++ b/mesh/answer/answer.go
@@ -29,10 +29,12 @@
 	Headers     []call.Header `cbor:"2,keyasint,omitempty"`
 	Body        []byte        `cbor:"3,keyasint,omitempty"`
 	Ran         Ran           `cbor:"4,keyasint"`
-	Reason      string        `cbor:"5,keyasint,omitempty"` // one word for a refusal, such as "full"
-	Retried     bool          `cbor:"6,keyasint,omitempty"` // a deeper hop has used a retry
-	Outstanding int           `cbor:"7,keyasint,omitempty"` // calls at the endpoint, with the queue
-	Slots       int           `cbor:"8,keyasint,omitempty"` // the endpoint's current limit
+	Reason      string        `cbor:"5,keyasint,omitempty"`  // one word for a refusal, such as "full"
+	Retried     bool          `cbor:"6,keyasint,omitempty"`  // a deeper hop has used a retry
+	Outstanding int           `cbor:"7,keyasint,omitempty"`  // calls at the endpoint, with the queue
+	Slots       int           `cbor:"8,keyasint,omitempty"`  // the endpoint's current limit
+	Wait        int64         `cbor:"9,keyasint,omitempty"`  // milliseconds until a refused call is expected to find room
+	Took        int64         `cbor:"10,keyasint,omitempty"` // microseconds in the upstream
 }
 
 // New returns an answer with the fields, whose slices are not changed afterwards.
@@ -71,5 +73,11 @@
 // Slots returns the endpoint's current limit of concurrent calls, or zero if unknown.
 func (a Answer) Slots() int { return a.f.Slots }
 
+// Wait returns the milliseconds until a refused call is expected to find room, or 0 if unknown.
+func (a Answer) Wait() int64 { return a.f.Wait }
+
+// Took returns the microseconds that the call spent in the upstream, or 0 if it did not get there.
+func (a Answer) Took() int64 { return a.f.Took }
+
 // Fields returns a copy of the values, to build a changed answer from.
 func (a Answer) Fields() Fields { return a.f }
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -37,6 +37,11 @@
 	Left       int64       `cbor:"14,keyasint"`           // milliseconds until the deadline
 	Depth      int         `cbor:"15,keyasint,omitempty"` // calls above this one
 	Created    int64       `cbor:"16,keyasint,omitempty"` // when the key was made, in milliseconds since 1970, or 0
+	Request    string      `cbor:"17,keyasint,omitempty"` // the caller's identifier of the request
+	Instance   string      `cbor:"18,keyasint,omitempty"` // the start of the upstream that may run the call; empty for any
+	Caller     string      `cbor:"19,keyasint,omitempty"` // service beside which the request began
+	Rank       int         `cbor:"20,keyasint,omitempty"` // urgency; 0 is the highest
+	Patience   int64       `cbor:"21,keyasint,omitempty"` // longest wait for a slot, in milliseconds
 }
 
 // New returns a call with the fields, whose slices are not changed afterwards.
@@ -99,5 +104,20 @@
 // Created returns when the caller says that it made the key, in milliseconds since 1970, or 0.
 func (c Call) Created() int64 { return c.f.Created }
 
+// Request returns the caller's identifier of the request, or the empty string.
+func (c Call) Request() string { return c.f.Request }
+
+// Instance returns the start of the upstream that may run the call, or the empty string for any.
+func (c Call) Instance() string { return c.f.Instance }
+
+// Caller returns the service beside which the request began.
+func (c Call) Caller() string { return c.f.Caller }
+
+// Rank returns the urgency; 0 is the highest.
+func (c Call) Rank() int { return c.f.Rank }
+
+// Patience returns the longest wait for a slot, in milliseconds.
+func (c Call) Patience() int64 { return c.f.Patience }
+
 // Fields returns a copy of the values, to build a changed call from.
 func (c Call) Fields() Fields { return c.f }
--- /dev/null
+++ b/mesh/chooser/doc.go
@@ -0,0 +1,2 @@
+// Package chooser decides which endpoint an attempt goes to, by the time until its answer is expected.
+package chooser
--- /dev/null
+++ b/mesh/elector/elector.go
@@ -0,0 +1,38 @@
+package elector
+
+// Candidate is a node as the deciding node sees it.
+type Candidate struct {
+	Address string
+	Region  string
+	Store   bool // it reaches the store, as it says
+	Alive   bool // it has been heard of lately
+}
+
+// Watches reports whether own should watch the store for its region: it reaches the store or nobody does, and no
+// node of the region that reaches it has a lower address.
+func Watches(own Candidate, peers []Candidate) bool {
+	for _, p := range peers {
+		if p.Alive && p.Region == own.Region && first(p, own) {
+			return false
+		}
+	}
+	return true
+}
+
+// Coordinates reports whether own should decide for the whole mesh.
+func Coordinates(own Candidate, peers []Candidate) bool {
+	for _, p := range peers {
+		if p.Alive && first(p, own) {
+			return false
+		}
+	}
+	return own.Store
+}
+
+// first reports whether a goes before b.
+func first(a, b Candidate) bool {
+	if a.Store != b.Store {
+		return a.Store
+	}
+	return a.Address < b.Address
+}
--- a/mesh/endpoint/endpoint.go
+++ b/mesh/endpoint/endpoint.go
@@ -33,6 +33,8 @@
 	State       State  `json:"state" cbor:"7,keyasint"`
 	Incarnation uint64 `json:"incarnation" cbor:"8,keyasint"`
 	Joined      int64  `json:"joined" cbor:"9,keyasint"` // milliseconds since 1970
+	Instance    string `json:"instance,omitempty" cbor:"10,keyasint,omitempty"`
+	Warm        int64  `json:"warm,omitempty" cbor:"11,keyasint,omitempty"` // milliseconds since 1970
 }
 
 // Fields are the values of a new Endpoint.
@@ -42,16 +44,25 @@
 	State                                         State
 	Incarnation                                   uint64
 	Joined                                        time.Time
+	Instance                                      string    // identifier of one start of the upstream
+	Warm                                          time.Time // when the cold start ends
 }
 
 // New returns an endpoint with the fields.
 func New(f Fields) Endpoint {
 	return Endpoint{w: wire{
 		Address: f.Address, Service: f.Service, Version: f.Version, DataCentre: f.DataCentre, Region: f.Region,
-		Slots: f.Slots, State: f.State, Incarnation: f.Incarnation, Joined: f.Joined.UnixMilli(),
+		Slots: f.Slots, State: f.State, Incarnation: f.Incarnation, Joined: f.Joined.UnixMilli(), Instance: f.Instance, Warm: millis(f.Warm),
 	}}
 }
 
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
 // MarshalJSON writes the endpoint's own format.
 func (e Endpoint) MarshalJSON() ([]byte, error) { return json.Marshal(e.w) }
 
@@ -91,6 +102,12 @@
 // Joined returns when the endpoint entered its set, to the millisecond.
 func (e Endpoint) Joined() time.Time { return time.UnixMilli(e.w.Joined) }
 
+// Instance returns the identifier of one start of the upstream, or the empty string.
+func (e Endpoint) Instance() string { return e.w.Instance }
+
+// Warm returns when the upstream's cold start ends, to the millisecond.
+func (e Endpoint) Warm() time.Time { return time.UnixMilli(e.w.Warm) }
+
 // WithState returns a copy in another state.
 func (e Endpoint) WithState(s State) Endpoint {
 	e.w.State = s
--- /dev/null
+++ b/mesh/estimator/doc.go
@@ -0,0 +1,2 @@
+// Package estimator keeps the usual time that calls of each rule spend in an upstream.
+package estimator
--- /dev/null
+++ b/mesh/forwarder/forwarder.go
@@ -0,0 +1,321 @@
+package forwarder
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"wisteriaspoke.example/mesh/allowance"
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/chooser"
+	"wisteriaspoke.example/mesh/estimator"
+	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/rule"
+	"wisteriaspoke.example/mesh/target"
+	"wisteriaspoke.example/mesh/view"
+)
+
+func init() {
+	kernel.Register("forwarder", 60, func() kernel.Part { return &Forwarder{random: rand.IntN, estimator: estimator.New()} })
+}
+
+const (
+	// slowFactor is the multiple of a rule's usual time from which an answer of a moving service counts as slow: above
+	// what a slow host and a long request explain together.
+	slowFactor = 3.5
+	// heldFor keeps calls from an endpoint that refused one for about the time until it has room again.
+	heldFor = 60 * time.Millisecond
+	// soon is the time to return that callers are told when no endpoint is known.
+	soon = 250 * time.Millisecond
+	// spare is the part of the mesh's bound on repeats that is used; nodes come and go, and their parts do not add up
+	// exactly.
+	spare = 0.7
+)
+
+var (
+	repeats  = metrics.GetOrRegisterCounter("call.repeats", nil)
+	reroutes = metrics.GetOrRegisterCounter("call.reroutes", nil)
+	unspent  = metrics.GetOrRegisterCounter("call.unaffordable", nil)
+)
+
+// viewer has the state that calls read.
+type viewer interface {
+	// Size returns the number of nodes that share the mesh's bounds, this one included.
+	Size() int
+}
+
+// carrier takes calls to other nodes.
+type carrier interface {
+	// Call sends c to the node at address peer and waits for its answer; errors are of kind NotRun or MayHaveRun.
+	Call(ctx context.Context, peer string, c call.Call) (answer.Answer, error)
+}
+
+// runner runs calls on the upstream beside this node.
+type runner interface {
+	// Serve runs one call and returns its end.
+	Serve(ctx context.Context, c call.Call) answer.Answer
+}
+
+// observer learns how calls end, for moves to new versions.
+type observer interface {
+	// Observe takes the answer of one call to an endpoint.
+	Observe(service, version, rule, instance string, failed, slow bool)
+	// Moving reports whether the version is the target of a running move.
+	Moving(service, version string) bool
+}
+
+// Forwarder takes requests to endpoints.
+type Forwarder struct {
+	RepeatRatio   float64       `help:"Repeats that the whole mesh may send to a service for each request." default:"0.2" env:"WISTERIASPOKE_REPEAT_RATIO"`
+	RepeatReserve float64       `help:"Repeats that the whole mesh may send to a service beyond the ratio, in each window." default:"50" env:"WISTERIASPOKE_REPEAT_RESERVE"`
+	RepeatWindow  time.Duration `help:"Window of the bound on repeats." default:"10s" env:"WISTERIASPOKE_REPEAT_WINDOW"`
+
+	log        *slog.Logger
+	viewer     viewer
+	carrier    carrier
+	runner     runner
+	observer   observer
+	random     func(int) int
+	estimator  *estimator.Estimator
+	allowances sync.Map // service -> *allowance.Allowance
+}
+
+// Check returns every bad setting with its remedy.
+func (f *Forwarder) Check() error {
+	if f.RepeatRatio < 0 || f.RepeatReserve < 0 || f.RepeatWindow <= 0 {
+		return fault.New(fault.Invalid, "--repeat-ratio, --repeat-reserve or --repeat-window is negative", "set them to 0 or more, and the window above 0")
+	}
+	return nil
+}
+
+// Start finds the parts that the forwarder needs.
+func (f *Forwarder) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if f.viewer, err = kernel.Need[viewer](k); err != nil {
+		return nil, err
+	}
+	if f.carrier, err = kernel.Need[carrier](k); err != nil {
+		return nil, err
+	}
+	if f.runner, err = kernel.Need[runner](k); err != nil {
+		return nil, err
+	}
+	if f.observer, err = kernel.Need[observer](k); err != nil {
+		return nil, err
+	}
+	f.log = k.Log
+	return nil, nil
+}
+
+// journey is one request on its way.
+type journey struct {
+	rule     *rule.Rule
+	service  string
+	view     *view.View
+	fields   call.Fields
+	tried    []*target.Target
+	sends    int
+	arrivals int
+	expected time.Duration
+	begun    time.Time
+	last     *target.Target
+}
+
+// Forward sends the request of the rule to an endpoint and returns the end of it. ctx ends with the deadline or when the
+// caller hangs up. Refusals and failures of the mesh's own have a status and a reason, and a wait before the caller
+// should return.
+func (f *Forwarder) Forward(ctx context.Context, v *view.View, r *rule.Rule, c call.Fields) answer.Answer {
+	j := &journey{rule: r, service: r.Draw(f.random), view: v, fields: c, begun: time.Now()}
+	j.expected = f.estimator.Expected(r.Name(), r.Aim())
+	allowance := f.allowance(j.service)
+	allowance.Earn()
+	targets := v.Pool(j.service).Draw(f.random)
+	for {
+		t, patience := f.choose(j, targets)
+		if t == nil {
+			return f.lost(j, answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: "none", Wait: soon.Milliseconds()}))
+		}
+		a := f.send(ctx, j, t, patience)
+		left := remaining(ctx)
+		s := situation{
+			answer: a, idempotent: r.Idempotent(), arrivals: j.arrivals, attempts: r.Attempts(), sends: j.sends,
+			left: left, expected: j.expected, allowed: true, others: len(targets) > len(j.tried),
+		}
+		act := next(s)
+		if act == repeat && !allowance.Spend(time.Now()) {
+			unspent.Inc(1)
+			s.allowed = false
+			act = next(s)
+		}
+		if ctx.Err() != nil && a.Ran() != answer.Yes {
+			act = giveUp
+		}
+		switch act {
+		case deliver:
+			f.delivered(j, a, left)
+			return a
+		case giveUp:
+			return f.lost(j, a)
+		case repeat:
+			repeats.Inc(1)
+		default:
+			reroutes.Inc(1)
+		}
+		f.log.Info("request sent again", "id", c.Request, "rule", r.Name(), "action", act, "reason", a.Reason(), "ran", a.Ran(),
+			"status", a.Status(), "peer", t.Endpoint().Address(), "instance", t.Endpoint().Instance(), "tier", t.Tier().String(),
+			"left", left.Milliseconds(), "budget", allowance.Left())
+	}
+}
+
+func remaining(ctx context.Context) time.Duration {
+	if d, ok := ctx.Deadline(); ok {
+		return time.Until(d)
+	}
+	return time.Minute
+}
+
+func (f *Forwarder) choose(j *journey, targets []*target.Target) (*target.Target, time.Duration) {
+	c := chooser.Choose(chooser.Question{
+		Targets: targets, Exclude: j.tried, Expected: j.expected, Bulky: j.rule.Bulky(), Now: time.Now(), Random: f.random,
+	})
+	patience := c.Patience()
+	if c.Only() {
+		patience = 0
+	}
+	return c.Target(), patience
+}
+
+// send does one attempt and keeps what it says of the endpoint.
+func (f *Forwarder) send(ctx context.Context, j *journey, t *target.Target, patience time.Duration) answer.Answer {
+	e, g := t.Endpoint(), t.Gauge()
+	j.tried, j.last = append(j.tried, t), t
+	j.sends++
+	c := j.fields
+	c.Service, c.Version, c.Instance = e.Service(), e.Version(), e.Instance()
+	c.Route, c.Rank, c.Idempotent, c.Patience = j.rule.Name(), j.rule.Rank(), j.rule.Idempotent(), patience.Milliseconds()
+	c.Left = max(1, remaining(ctx).Milliseconds())
+	mark := g.Begin(time.Now())
+	a := f.carry(ctx, t, call.New(c))
+	g.End(mark)
+	f.learn(j, t, a)
+	if arrived(a) {
+		j.arrivals++
+	}
+	return a
+}
+
+func (f *Forwarder) carry(ctx context.Context, t *target.Target, c call.Call) answer.Answer {
+	if t.Tier() == target.Own {
+		return f.runner.Serve(ctx, c)
+	}
+	a, err := f.carrier.Call(ctx, t.Endpoint().Address(), c)
+	if err == nil {
+		return a
+	}
+	w := answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: "link"}
+	if fault.KindOf(err) == fault.NotRun {
+		w = answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: "link"}
+	}
+	if ctx.Err() != nil {
+		w.Reason = exchanger.ReasonTimeout
+		if context.Cause(ctx) != context.DeadlineExceeded {
+			w.Reason = exchanger.ReasonLeft
+		}
+	}
+	return answer.New(w)
+}
+
+// learn keeps what an answer says of the endpoint.
+func (f *Forwarder) learn(j *journey, t *target.Target, a answer.Answer) {
+	now := time.Now()
+	e, g := t.Endpoint(), t.Gauge()
+	if a.Slots() > 0 {
+		g.Report(a.Outstanding(), now)
+	}
+	took := time.Duration(a.Took()) * time.Microsecond
+	bad := failed(a)
+	switch {
+	case a.Ran() == answer.No:
+		g.Hold(now.Add(heldFor))
+		if bad || a.Reason() == "link" {
+			g.Fail(now)
+		}
+	case bad:
+		if g.Fail(now) {
+			f.log.Warn("endpoint ejected", "peer", e.Address(), "instance", e.Instance(), "service", e.Service(), "reason", a.Reason(), "status", a.Status())
+		}
+	case a.Ran() == answer.Yes:
+		g.Succeed(now)
+	}
+	timedOut := a.Reason() == exchanger.ReasonTimeout
+	if timedOut {
+		took = now.Sub(j.begun)
+	}
+	if a.Ran() == answer.Yes || timedOut {
+		g.Measure(float64(took) / float64(max(1, j.expected)))
+	}
+	if a.Ran() == answer.Yes && a.Status() < 300 && !f.observer.Moving(e.Service(), e.Version()) {
+		f.estimator.Measure(j.rule.Name(), j.rule.Aim(), took)
+	}
+	if a.Ran() == answer.No && a.Reason() != exchanger.ReasonShed || a.Reason() == exchanger.ReasonLeft {
+		return
+	}
+	slow := !e.Warm().After(now) && float64(took) > slowFactor*float64(j.expected)
+	f.observer.Observe(e.Service(), e.Version(), j.rule.Name(), e.Instance(), bad && !timedOut, slow)
+}
+
+// allowance returns this node's part of the bound on repeats for the service.
+func (f *Forwarder) allowance(service string) *allowance.Allowance {
+	reserve := f.RepeatReserve * spare / float64(f.viewer.Size())
+	found, ok := f.allowances.Load(service)
+	if !ok {
+		fresh := allowance.New(f.RepeatRatio*spare, reserve, f.RepeatWindow, time.Now())
+		found, _ = f.allowances.LoadOrStore(service, fresh)
+	}
+	a := found.(*allowance.Allowance)
+	a.Share(reserve)
+	return a
+}
+
+// attributes are the inputs of the last decision on a request, for its log line.
+func (j *journey) attributes(a answer.Answer) []any {
+	as := []any{
+		"id", j.fields.Request, "rule", j.rule.Name(), "service", j.service, "caller", j.fields.Caller, "status", a.Status(),
+		"ran", a.Ran(), "sends", j.sends, "arrivals", j.arrivals, "took", time.Since(j.begun).Milliseconds(),
+		"expected", j.expected.Milliseconds(),
+	}
+	if p := j.view.Plan(); p != nil {
+		as = append(as, "version", p.Version(), "age", time.Since(j.view.Since()).Milliseconds())
+	}
+	if t := j.last; t != nil {
+		e := t.Endpoint()
+		as = append(as, "peer", e.Address(), "instance", e.Instance(), "tier", t.Tier().String(), "release", e.Version(),
+			"outstanding", a.Outstanding(), "slots", a.Slots(), "upstream", a.Took()/1000)
+	}
+	return as
+}
+
+func (f *Forwarder) delivered(j *journey, a answer.Answer, left time.Duration) {
+	f.log.Info("request answered", append(j.attributes(a), "left", left.Milliseconds())...)
+}
+
+// lost ends a request without an answer of an upstream.
+func (f *Forwarder) lost(j *journey, a answer.Answer) answer.Answer {
+	w := a.Fields()
+	w.Status = outcome(a)
+	if a.Ran() == answer.No && w.Wait == 0 {
+		w.Wait = soon.Milliseconds()
+	}
+	w.Headers, w.Body = nil, nil
+	a = answer.New(w)
+	f.log.Warn("request failed", append(j.attributes(a), "reason", a.Reason(), "wait", w.Wait)...)
+	return a
+}
--- /dev/null
+++ b/mesh/gossiper/gossiper.go
@@ -0,0 +1,574 @@
+package gossiper
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"wisteriaspoke.example/mesh/composer"
+	"wisteriaspoke.example/mesh/elector"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/enroller"
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/message"
+	"wisteriaspoke.example/mesh/order"
+	"wisteriaspoke.example/mesh/plan"
+	"wisteriaspoke.example/mesh/record"
+	"wisteriaspoke.example/mesh/view"
+)
+
+func init() {
+	kernel.Register("gossiper", 40, func() kernel.Part {
+		return &Gossiper{now: time.Now, inputs: make(chan any, inputQueue), peers: map[string]*peer{}, archive: newArchive(), orders: map[string]order.Order{}}
+	})
+}
+
+const (
+	// tick is the interval of checks of peers' silence and of attempts to link with known nodes.
+	tick = 200 * time.Millisecond
+	// pulseInterval is the longest time between two pulses to a peer of the own region, and farFactor the multiple of
+	// it for the others, as traffic between regions is dear.
+	pulseInterval = time.Second
+	farFactor     = 3
+	// silence is how long a node that sends no pulse is taken to be reachable, in intervals: two pulses and a margin.
+	silence = 2.6
+	// relink is how long an endpoint stays in use after the last link with its node broke, as links are opened again
+	// within some 50 ms when the node lives.
+	relink = 300 * time.Millisecond
+	// forget is how long an address is tried that cannot be reached.
+	forget = 45 * time.Second
+	// inputQueue bounds the inputs that wait; about a second of pulses from a thousand peers.
+	inputQueue = 2048
+)
+
+var (
+	inputsDropped = metrics.GetOrRegisterCounter("gossip.dropped", nil)
+	planVersion   = metrics.GetOrRegisterGauge("plan.version", nil)
+	peersLinked   = metrics.GetOrRegisterGauge("peers.linked", nil)
+)
+
+// sender sends messages to other nodes.
+type sender interface {
+	// Send queues m for the node at address peer without blocking.
+	Send(peer string, m message.Message)
+}
+
+// settler knows which node this is.
+type settler interface {
+	// Config returns what is known of this node.
+	Config() machine.Config
+}
+
+// decoder understands the store's encoding.
+type decoder interface {
+	// Plan returns the configuration in a record's specification.
+	Plan(spec []byte) (*plan.Plan, error)
+	// Order returns the order in a record.
+	Order(r record.Record) (order.Order, error)
+}
+
+// splitter knows how calls are split between versions.
+type splitter interface {
+	// Split returns the split of one service's calls; it does not block.
+	Split(service string) composer.Split
+}
+
+// follower learns the orders.
+type follower interface {
+	// Ordered takes all orders that are known, after each change; it does not block.
+	Ordered(orders []order.Order)
+}
+
+// Gossiper spreads and keeps what nodes know. One goroutine owns its state; calls read the published view.
+type Gossiper struct {
+	now func() time.Time
+
+	log       *slog.Logger
+	sender    sender
+	decoder   decoder
+	splitter  splitter
+	followers []follower
+	config    machine.Config
+	inputs    chan any
+	view      atomic.Pointer[view.View]
+	nodes     atomic.Pointer[[]elector.Candidate]
+	revisions [2]atomic.Uint64 // of the configuration and of the orders, for other goroutines
+	store     atomic.Bool
+	leaving   atomic.Bool
+	size      atomic.Int64 // largest number of other nodes
+
+	// The rest belongs to the goroutine.
+	peers   map[string]*peer
+	archive *archive
+	orders  map[string]order.Order
+	plan    *plan.Plan
+	since   time.Time
+	own     peer
+	number  uint64
+	dirty   bool
+}
+
+// Inputs of the goroutine besides events.
+type (
+	learned  []record.Record
+	found    []string
+	enrolled struct{ local *enroller.Local }
+	refresh  struct{}
+	pulseNow struct{}
+)
+
+// Start begins to link with nodes that are found.
+func (g *Gossiper) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if g.sender, err = kernel.Need[sender](k); err != nil {
+		return nil, err
+	}
+	if g.decoder, err = kernel.Need[decoder](k); err != nil {
+		return nil, err
+	}
+	if g.splitter, err = kernel.Need[splitter](k); err != nil {
+		return nil, err
+	}
+	own, err := kernel.Need[settler](k)
+	if err != nil {
+		return nil, err
+	}
+	g.config, g.log, g.followers = own.Config(), k.Log, kernel.All[follower](k)
+	g.own = peer{address: g.config.Node, linked: true}
+	g.view.Store(view.New(nil, time.Time{}, nil))
+	g.nodes.Store(&[]elector.Candidate{})
+	end := make(chan error, 1)
+	go func() { end <- g.run(ctx) }()
+	return end, nil
+}
+
+// View returns the state that calls read; it is never nil after Start.
+func (g *Gossiper) View() *view.View { return g.view.Load() }
+
+// Nodes returns the other nodes that have been heard of.
+func (g *Gossiper) Nodes() []elector.Candidate { return *g.nodes.Load() }
+
+// Size returns the largest number of nodes that were known at once, this one included: a node that is cut off must not
+// take the whole mesh's part of a bound for its own.
+func (g *Gossiper) Size() int { return int(g.size.Load()) + 1 }
+
+// Self returns this node as a candidate.
+func (g *Gossiper) Self() elector.Candidate {
+	return elector.Candidate{Address: g.config.Node, Region: g.config.Region, Store: g.store.Load() && !g.leaving.Load(), Alive: true}
+}
+
+// Revision returns the highest revision of the kind that is known.
+func (g *Gossiper) Revision(kind record.Kind) uint64 {
+	if kind == record.Configuration {
+		return g.revisions[0].Load()
+	}
+	return g.revisions[1].Load()
+}
+
+// Learn takes records from the store.
+func (g *Gossiper) Learn(rs []record.Record) { g.put(learned(rs)) }
+
+// Found takes addresses of nodes from the store.
+func (g *Gossiper) Found(addresses []string) { g.put(found(addresses)) }
+
+// Reaches takes whether this node reaches the store; other nodes are told of a change at once.
+func (g *Gossiper) Reaches(store bool) {
+	if g.store.Swap(store) == store {
+		return
+	}
+	if store {
+		g.log.Info("store regained")
+	} else {
+		g.log.Warn("store lost")
+	}
+	g.put(pulseNow{})
+}
+
+// Enrolled takes a change of the local upstream.
+func (g *Gossiper) Enrolled(l *enroller.Local) { g.put(enrolled{l}) }
+
+// Refresh builds the view anew, after a change of a split.
+func (g *Gossiper) Refresh() { g.put(refresh{}) }
+
+// Inject takes an event of the links.
+func (g *Gossiper) Inject(e event.Event) { g.put(e) }
+
+// Broadcast sends m to all linked nodes.
+func (g *Gossiper) Broadcast(m message.Message) { g.put(m) }
+
+func (g *Gossiper) put(input any) {
+	select {
+	case g.inputs <- input:
+	default:
+		inputsDropped.Inc(1)
+		g.log.Error("gossip input dropped", "queue", inputQueue)
+	}
+}
+
+// Ready returns why this node should not get new work, or nil.
+func (g *Gossiper) Ready() error {
+	switch {
+	case g.leaving.Load():
+		return fault.New(fault.Unavailable, "this node is stopping", "use another node")
+	case g.View().Plan() == nil:
+		return fault.New(fault.Unavailable, "no configuration is known yet", "wait until the store or another node answers")
+	}
+	return nil
+}
+
+// Drain tells the other nodes that this one is stopping.
+func (g *Gossiper) Drain(context.Context) error {
+	g.leaving.Store(true)
+	g.put(pulseNow{})
+	return nil
+}
+
+func (g *Gossiper) run(ctx context.Context) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case in := <-g.inputs:
+			g.take(in)
+			for len(g.inputs) > 0 && ctx.Err() == nil {
+				g.take(<-g.inputs)
+			}
+		case <-t.C:
+			g.tick()
+		}
+		if g.dirty {
+			g.publish()
+		}
+	}
+}
+
+func (g *Gossiper) take(input any) {
+	switch in := input.(type) {
+	case event.Event:
+		g.event(in)
+	case learned:
+		g.spread(g.keep(g.compressed(in)), g.config.Region, "")
+	case found:
+		for _, a := range in {
+			g.know(a)
+		}
+	case enrolled:
+		g.enrolled(in.local)
+	case message.Message:
+		for _, p := range g.peers {
+			if p.linked {
+				g.sender.Send(p.address, in)
+			}
+		}
+	case refresh:
+		g.dirty = true
+	case pulseNow:
+		g.pulse(true)
+	}
+}
+
+// compressed returns records from the store as nodes pass them on.
+func (g *Gossiper) compressed(rs []record.Record) []record.Record {
+	out := make([]record.Record, 0, len(rs))
+	for _, r := range rs {
+		if r.Kind == record.Configuration {
+			spec, err := compress(r.Spec)
+			if err != nil {
+				g.log.Error("configuration cannot be compressed", "revision", r.Revision, "error", err)
+				continue
+			}
+			r.Spec = spec
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func (g *Gossiper) event(e event.Event) {
+	switch e.Kind() {
+	case event.Linked:
+		p := g.know(e.Peer())
+		if p == nil {
+			return
+		}
+		p.linked, p.changed = true, g.now()
+		g.log.Info("peer linked", "peer", p.address)
+		g.sender.Send(p.address, g.ownPulse())
+		g.sender.Send(p.address, g.addresses())
+	case event.Unlinked:
+		if p := g.peers[e.Peer()]; p != nil {
+			p.linked, p.changed = false, g.now()
+			g.log.Warn("peer unlinked", "peer", p.address)
+			if p.gauge != nil {
+				p.gauge.Eject(g.now())
+			}
+		}
+	case event.Received:
+		g.receive(e.Peer(), e.Message())
+	}
+}
+
+// know returns the peer at the address, or nil for this node itself.
+func (g *Gossiper) know(address string) *peer {
+	if address == g.config.Node || address == "" {
+		return nil
+	}
+	p := g.peers[address]
+	if p == nil {
+		p = &peer{address: address, changed: g.now()}
+		g.peers[address] = p
+		g.sender.Send(address, g.ownPulse())
+	}
+	return p
+}
+
+func (g *Gossiper) receive(from string, m message.Message) {
+	p := g.know(from)
+	if p == nil {
+		return
+	}
+	switch b := m.Body().(type) {
+	case *pulse:
+		g.heard(p, b)
+	case *records:
+		region := ""
+		if p.pulse != nil {
+			region = p.pulse.Region
+		}
+		g.spread(g.keep(b.Records), region, from)
+	case *nodes:
+		for _, a := range b.Addresses {
+			g.know(a)
+		}
+	}
+}
+
+func (g *Gossiper) heard(p *peer, u *pulse) {
+	old := p.pulse
+	changed, taken := p.take(u, g.now())
+	if !taken {
+		return
+	}
+	if changed {
+		g.dirty = true
+		g.logPeer(p)
+	}
+	if old == nil || old.Store != u.Store || old.Leaving != u.Leaving {
+		g.publishNodes()
+	}
+	missing := g.archive.after(record.Configuration, u.Configuration)
+	missing = append(missing, g.archive.after(record.Orders, u.Orders)...)
+	if len(missing) > 0 {
+		g.sender.Send(p.address, message.New(kindRecords, &records{Records: missing}))
+	}
+}
+
+func (g *Gossiper) logPeer(p *peer) {
+	if e := p.pulse.Endpoint; e != nil {
+		g.log.Info("endpoint changed", "peer", p.address, "instance", e.Instance(), "service", e.Service(),
+			"version", e.Version(), "state", e.State(), "leaving", p.pulse.Leaving)
+	}
+}
+
+// keep takes records and returns those that are newer than the known ones.
+func (g *Gossiper) keep(rs []record.Record) []record.Record {
+	var fresh []record.Record
+	for _, r := range rs {
+		if !g.archive.take(r) {
+			continue
+		}
+		fresh = append(fresh, r)
+		g.apply(r)
+	}
+	g.revisions[0].Store(g.archive.highest[record.Configuration])
+	g.revisions[1].Store(g.archive.highest[record.Orders])
+	return fresh
+}
+
+// apply puts a record into force.
+func (g *Gossiper) apply(r record.Record) {
+	switch r.Kind {
+	case record.Configuration:
+		g.configure(r)
+	case record.Orders:
+		o, err := g.decoder.Order(r)
+		if err != nil {
+			g.log.Error("order ignored", "service", r.Name, "revision", r.Revision, "error", err)
+			return
+		}
+		if r.Deleted {
+			delete(g.orders, r.Name)
+		} else {
+			g.orders[r.Name] = o
+		}
+		g.log.Info("order known", "service", r.Name, "target", o.Target(), "state", o.State(), "revision", r.Revision, "deleted", r.Deleted)
+		g.dirty = true
+		all := make([]order.Order, 0, len(g.orders))
+		for _, o := range g.orders {
+			all = append(all, o)
+		}
+		for _, f := range g.followers {
+			f.Ordered(all)
+		}
+	}
+}
+
+func (g *Gossiper) configure(r record.Record) {
+	if r.Deleted {
+		g.log.Error("configuration was deleted in the store; the last one stays in force", "revision", r.Revision)
+		return
+	}
+	spec, err := decompress(r.Spec)
+	var p *plan.Plan
+	if err == nil {
+		p, err = g.decoder.Plan(spec)
+	}
+	if err != nil {
+		g.log.Error("configuration refused", "revision", r.Revision, "error", err)
+		return
+	}
+	if g.plan != nil && p.Version() <= g.plan.Version() {
+		g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "revision", r.Revision)
+		return
+	}
+	g.plan, g.since, g.dirty = p, g.now(), true
+	planVersion.Update(int64(p.Version()))
+	g.log.Info("configuration in force", "version", p.Version(), "revision", r.Revision, "rules", p.Rules())
+}
+
+// spread passes records on: to this node's region if they come from elsewhere, and from the store to one node of each
+// other region.
+func (g *Gossiper) spread(rs []record.Record, origin, from string) {
+	if len(rs) == 0 || from != "" && origin == g.config.Region {
+		return
+	}
+	m := message.New(kindRecords, &records{Records: rs})
+	other := map[string]string{}
+	for _, p := range g.peers {
+		switch {
+		case !p.linked || p.pulse == nil || p.address == from:
+		case p.pulse.Region == g.config.Region:
+			g.sender.Send(p.address, m)
+		case from == "" && (other[p.pulse.Region] == "" || p.address < other[p.pulse.Region]):
+			other[p.pulse.Region] = p.address
+		}
+	}
+	for _, address := range other {
+		g.sender.Send(address, m)
+	}
+}
+
+func (g *Gossiper) enrolled(l *enroller.Local) {
+	a := l.Announcement()
+	f := endpoint.Fields{
+		Address: g.config.Node, Service: a.Service, Version: a.Version, DataCentre: g.config.DataCentre, Region: g.config.Region,
+		Slots: a.Slots, State: l.State(), Incarnation: uint64(a.Born), Joined: time.UnixMilli(a.Born), Instance: a.Instance,
+	}
+	if l.State() == endpoint.Ready {
+		f.Warm = l.Warm()
+	}
+	e := endpoint.New(f)
+	g.own.take(&pulse{Incarnation: g.config.Incarnation, Number: g.nextNumber(), Region: g.config.Region, Endpoint: &e}, g.now())
+	g.dirty = true
+	g.pulse(true)
+}
+
+func (g *Gossiper) nextNumber() uint64 {
+	g.number++
+	return g.number
+}
+
+func (g *Gossiper) ownPulse() message.Message {
+	u := &pulse{
+		Incarnation: g.config.Incarnation, Number: g.nextNumber(), DataCentre: g.config.DataCentre, Region: g.config.Region,
+		Store: g.store.Load(), Leaving: g.leaving.Load(),
+		Configuration: g.archive.highest[record.Configuration], Orders: g.archive.highest[record.Orders],
+	}
+	if g.own.pulse != nil {
+		u.Endpoint = g.own.pulse.Endpoint
+	}
+	return message.New(kindPulse, u)
+}
+
+func (g *Gossiper) addresses() message.Message {
+	n := &nodes{}
+	for _, p := range g.peers {
+		if p.linked {
+			n.Addresses = append(n.Addresses, p.address)
+		}
+	}
+	return message.New(kindNodes, n)
+}
+
+// pulse sends the own pulse to all linked nodes, or to those that are due for one.
+func (g *Gossiper) pulse(all bool) {
+	now := g.now()
+	var m message.Message
+	for _, p := range g.peers {
+		if !p.linked || !all && now.Sub(p.pulsed) < g.interval(p) {
+			continue
+		}
+		if m.Body() == nil {
+			m = g.ownPulse()
+		}
+		p.pulsed = now
+		g.sender.Send(p.address, m)
+	}
+}
+
+// interval returns the longest time between two pulses with the peer.
+func (g *Gossiper) interval(p *peer) time.Duration {
+	if p.pulse != nil && p.pulse.Region != g.config.Region {
+		return farFactor * pulseInterval
+	}
+	return pulseInterval
+}
+
+func (g *Gossiper) tick() {
+	now := g.now()
+	g.pulse(false)
+	linked := 0
+	for address, p := range g.peers {
+		if p.linked {
+			linked++
+			continue
+		}
+		if now.Sub(p.changed) > forget {
+			delete(g.peers, address)
+			g.log.Info("peer forgotten", "peer", address)
+			continue
+		}
+		g.sender.Send(address, g.ownPulse())
+	}
+	peersLinked.Update(int64(linked))
+	g.publishNodes()
+	// Silence and relinking change what is reachable without an input.
+	g.dirty = true
+}
+
+func (g *Gossiper) publishNodes() {
+	now := g.now()
+	cs := make([]elector.Candidate, 0, len(g.peers))
+	for _, p := range g.peers {
+		if p.pulse != nil {
+			cs = append(cs, p.candidate(now, g.interval(p)))
+		}
+	}
+	slices.SortFunc(cs, func(a, b elector.Candidate) int {
+		if a.Address < b.Address {
+			return -1
+		}
+		return 1
+	})
+	g.nodes.Store(&cs)
+	g.size.Store(max(g.size.Load(), int64(len(cs))))
+}
--- /dev/null
+++ b/mesh/gossiper/messages.go
@@ -0,0 +1,46 @@
+package gossiper
+
+import (
+	"wisteriaspoke.example/mesh/encoder"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/record"
+)
+
+// Kinds of messages.
+const (
+	kindPulse   = "gossip.pulse"
+	kindRecords = "gossip.records"
+	kindNodes   = "gossip.nodes"
+)
+
+func init() {
+	encoder.Register(kindPulse, func() any { return new(pulse) })
+	encoder.Register(kindRecords, func() any { return new(records) })
+	encoder.Register(kindNodes, func() any { return new(nodes) })
+}
+
+// pulse is what a node says of itself.
+type pulse struct {
+	_             struct{} `cbor:",toarray"`
+	Incarnation   uint64
+	Number        uint64 // grows with each pulse of an incarnation
+	DataCentre    string
+	Region        string
+	Store         bool               // the node reaches the store
+	Leaving       bool               // the node is stopping
+	Configuration uint64             // revision of the configuration that the node has
+	Orders        uint64             // highest revision of an order that the node has
+	Endpoint      *endpoint.Endpoint // nil while no upstream has announced itself
+}
+
+// records are objects of the store.
+type records struct {
+	_       struct{} `cbor:",toarray"`
+	Records []record.Record
+}
+
+// nodes are the addresses of nodes that the sender has heard of lately.
+type nodes struct {
+	_         struct{} `cbor:",toarray"`
+	Addresses []string
+}
--- /dev/null
+++ b/mesh/runner/runner.go
@@ -0,0 +1,184 @@
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/enroller"
+	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/slotter"
+)
+
+func init() {
+	kernel.Register("runner", 45, func() kernel.Part { return &Runner{} })
+}
+
+// Reasons of refusals that are neither the slotter's nor the exchanger's.
+const (
+	reasonAbsent    = "absent"    // no upstream has announced itself
+	reasonSuspect   = "suspect"   // the upstream has just refused a connection
+	reasonMisrouted = "misrouted" // the call is for another instance, service or version
+)
+
+var (
+	runs    = metrics.GetOrRegisterCounter("run.calls", nil)
+	refused = metrics.GetOrRegisterCounter("run.refused", nil)
+	took    = metrics.GetOrRegisterHistogram("run.took.ms", nil, metrics.NewExpDecaySample(1028, 0.015))
+	waited  = metrics.GetOrRegisterHistogram("run.waited.ms", nil, metrics.NewExpDecaySample(1028, 0.015))
+)
+
+// local knows the current upstream.
+type local interface {
+	// Current returns the upstream, or nil.
+	Current() *enroller.Local
+	// Suspect takes that the instance cannot be reached.
+	Suspect(instance, reason string)
+	// Recover takes that the instance has answered.
+	Recover(instance string)
+}
+
+// place is where calls run: the connections and slots of one start of the upstream.
+type place struct {
+	instance  string
+	exchanger *exchanger.Exchanger
+	slotter   *slotter.Slotter
+}
+
+// Runner runs calls on the local upstream.
+type Runner struct {
+	log     *slog.Logger
+	local   local
+	dialect exchanger.Dialect
+	place   atomic.Pointer[place]
+}
+
+// Start finds the parts that the runner needs.
+func (r *Runner) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if r.local, err = kernel.Need[local](k); err != nil {
+		return nil, err
+	}
+	if r.dialect, err = kernel.Need[exchanger.Dialect](k); err != nil {
+		return nil, err
+	}
+	r.log = k.Log
+	return nil, nil
+}
+
+// Enrolled follows the upstream: a new start gets its own connections and slots, and a leaving one no more calls.
+func (r *Runner) Enrolled(l *enroller.Local) {
+	a := l.Announcement()
+	p := r.place.Load()
+	leaving := l.State() == endpoint.Leaving
+	if p == nil || p.instance != a.Instance || p.exchanger.Address != a.Address || p.slotter.Closed() && !leaving {
+		next := &place{
+			instance:  a.Instance,
+			exchanger: &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect},
+			slotter:   slotter.New(a.Slots),
+		}
+		r.place.Store(next)
+		if p != nil {
+			p.slotter.Close()
+			p.exchanger.Reset()
+		}
+		p = next
+	}
+	if p.slotter.Slots() != a.Slots {
+		p.slotter.Resize(a.Slots)
+	}
+	if leaving {
+		p.slotter.Close()
+	}
+}
+
+// Serve runs one call and returns its end; ctx ends with the call's deadline, its caller or its link.
+func (r *Runner) Serve(ctx context.Context, c call.Call) answer.Answer {
+	p := r.place.Load()
+	if reason := r.check(c, p); reason != "" {
+		return r.refuse(c, p, reason, 0)
+	}
+	begin := time.Now()
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = begin.Add(time.Minute)
+	}
+	request := slotter.Request{Rank: c.Rank(), Deadline: deadline, Patience: time.Duration(c.Patience()) * time.Millisecond}
+	if refusal, wait := p.slotter.Enter(ctx, request); refusal != "" {
+		return r.refuse(c, p, string(refusal), wait)
+	}
+	wait := time.Since(begin)
+	waited.Update(wait.Milliseconds())
+	// The upstream may have left while the call waited.
+	if reason := r.check(c, p); reason != "" {
+		p.slotter.Exit(0)
+		return r.refuse(c, p, reason, 0)
+	}
+	runs.Inc(1)
+	a := p.exchanger.Exchange(ctx, c)
+	r.finish(c, p, a)
+	f := a.Fields()
+	f.Outstanding, f.Slots = p.slotter.Outstanding(), p.slotter.Slots()
+	return answer.New(f)
+}
+
+func (r *Runner) finish(c call.Call, p *place, a answer.Answer) {
+	spent := time.Duration(a.Took()) * time.Microsecond
+	if a.Ran() == answer.No {
+		spent = 0
+	}
+	p.slotter.Exit(spent)
+	if spent > 0 {
+		took.Update(spent.Milliseconds())
+	}
+	switch a.Reason() {
+	case exchanger.ReasonDown, exchanger.ReasonMoved:
+		r.local.Suspect(p.instance, a.Reason())
+	case "":
+		if l := r.local.Current(); l != nil && l.State() == endpoint.Suspect {
+			r.local.Recover(p.instance)
+		}
+	}
+	if a.Reason() != "" {
+		r.log.Warn("call failed at the upstream", "id", c.Request(), "instance", p.instance, "reason", a.Reason(),
+			"ran", a.Ran(), "took", spent.Milliseconds(), "left", c.Left())
+	}
+}
+
+// check returns why the call may not run here now, or the empty string.
+func (r *Runner) check(c call.Call, p *place) string {
+	l := r.local.Current()
+	if l == nil || p == nil {
+		return reasonAbsent
+	}
+	a := l.Announcement()
+	switch {
+	case a.Instance != p.instance || c.Instance() != "" && c.Instance() != a.Instance,
+		c.Service() != a.Service, c.Version() != "" && c.Version() != a.Version:
+		return reasonMisrouted
+	case l.State() == endpoint.Leaving:
+		return string(slotter.Leaving)
+	case l.State() == endpoint.Suspect && !l.Retry(time.Now()):
+		return reasonSuspect
+	}
+	return ""
+}
+
+func (r *Runner) refuse(c call.Call, p *place, reason string, wait time.Duration) answer.Answer {
+	refused.Inc(1)
+	f := answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reason, Wait: wait.Milliseconds()}
+	if p != nil {
+		f.Outstanding, f.Slots = p.slotter.Outstanding(), p.slotter.Slots()
+	}
+	r.log.Info("call refused", "id", c.Request(), "instance", c.Instance(), "reason", reason, "outstanding", f.Outstanding,
+		"slots", f.Slots, "wait", f.Wait, "patience", c.Patience(), "left", c.Left())
+	return answer.New(f)
+}
--- /dev/null
+++ b/mesh/target/doc.go
@@ -0,0 +1,2 @@
+// Package target joins an endpoint with what this node measures of it.
+package target
--- /dev/null
+++ b/mesh/watcher/watcher.go
@@ -0,0 +1,290 @@
+package watcher
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"wisteriaspoke.example/mesh/elector"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/record"
+)
+
+func init() {
+	kernel.Register("watcher", 50, func() kernel.Part { return &Watcher{} })
+}
+
+const (
+	// watchWait is how long the store holds a watch without news. A connection that has gone silent is noticed after
+	// it, so it bounds how long a watch can be deaf.
+	watchWait = 8 * time.Second
+	// callTimeout bounds a call that the store answers at once.
+	callTimeout = 1500 * time.Millisecond
+	// watchMargin is added to watchWait for the way and a busy store.
+	watchMargin = 1500 * time.Millisecond
+	// gather is the pause after news, so that changes in quick succession come with one call.
+	gather = 150 * time.Millisecond
+	// pollElection is the interval at which a node that does not watch checks whether it should.
+	pollElection = 250 * time.Millisecond
+	// settle is how long a starting node waits for others to tell it the configuration before it watches itself.
+	settle = 300 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a failed call; it doubles, with a random half.
+	retryLeast = 150 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
+	// relist is the interval of reading the list of nodes again, as a node may have missed an entry.
+	relist = 40 * time.Second
+	// relistAlone is the interval while this node is linked with no other.
+	relistAlone = 2 * time.Second
+)
+
+var (
+	calls    = metrics.GetOrRegisterCounter("store.calls", nil)
+	failures = metrics.GetOrRegisterCounter("store.failures", nil)
+)
+
+// store is the platform's store of objects.
+type store interface {
+	// List returns all objects of the kind and the revision that the list shows; cheap allows an old one.
+	List(ctx context.Context, kind record.Kind, cheap bool) (rs []record.Record, at uint64, err error)
+	// Watch returns the changes after the revision, waiting for the first one; no change is not an error. An error
+	// of kind Gone means that the changes are no longer known.
+	Watch(ctx context.Context, kind record.Kind, after uint64, wait time.Duration) (rs []record.Record, at uint64, err error)
+	// Put creates or replaces an object, whatever its revision.
+	Put(ctx context.Context, kind record.Kind, name string, spec []byte) error
+	// Delete removes an object; one that does not exist is not an error.
+	Delete(ctx context.Context, kind record.Kind, name string) error
+}
+
+// spreader keeps what is learned and knows the other nodes.
+type spreader interface {
+	// Learn takes records from the store; it does not block.
+	Learn(rs []record.Record)
+	// Found takes addresses of nodes; it does not block.
+	Found(addresses []string)
+	// Reaches takes whether the store answers.
+	Reaches(store bool)
+	// Nodes returns the other nodes that have been heard of.
+	Nodes() []elector.Candidate
+	// Self returns this node.
+	Self() elector.Candidate
+}
+
+// settler knows which node this is.
+type settler interface {
+	// Config returns what is known of this node.
+	Config() machine.Config
+}
+
+// Watcher keeps in touch with the store.
+type Watcher struct {
+	log      *slog.Logger
+	store    store
+	spreader spreader
+	node     string
+	started  time.Time
+}
+
+// Start begins the calls to the store; a store that does not answer does not keep the node from starting.
+func (w *Watcher) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if w.store, err = kernel.Need[store](k); err != nil {
+		return nil, err
+	}
+	if w.spreader, err = kernel.Need[spreader](k); err != nil {
+		return nil, err
+	}
+	s, err := kernel.Need[settler](k)
+	if err != nil {
+		return nil, err
+	}
+	w.log, w.node, w.started = k.Log, s.Config().Node, time.Now()
+	end := make(chan error, 1)
+	go func() {
+		group, inner := errgroup.WithContext(ctx)
+		group.Go(func() error { return w.enter(inner) })
+		group.Go(func() error { return w.follow(inner, record.Configuration) })
+		group.Go(func() error { return w.follow(inner, record.Orders) })
+		end <- group.Wait()
+	}()
+	return end, nil
+}
+
+// enter writes this node's entry and then lists all entries. Of two nodes that start together, the one that writes
+// last sees both, so the order keeps them from missing each other.
+func (w *Watcher) enter(ctx context.Context) error {
+	b := backoff{}
+	for {
+		err := w.call(ctx, "put entry", func(ctx context.Context) error {
+			return w.store.Put(ctx, record.Hosts, w.node, nil)
+		})
+		if err == nil {
+			break
+		}
+		if err := pause(ctx, b.next()); err != nil {
+			return err
+		}
+	}
+	for first := true; ; first = false {
+		err := w.call(ctx, "list entries", func(ctx context.Context) error {
+			rs, _, err := w.store.List(ctx, record.Hosts, !first)
+			w.spreader.Found(names(rs))
+			return err
+		})
+		delay := relist
+		switch {
+		case err != nil:
+			delay = b.next()
+		case len(w.spreader.Nodes()) == 0:
+			delay = relistAlone
+		default:
+			b = backoff{}
+		}
+		if err := pause(ctx, delay); err != nil {
+			return err
+		}
+	}
+}
+
+func names(rs []record.Record) []string {
+	var ns []string
+	for _, r := range rs {
+		if !r.Deleted {
+			ns = append(ns, r.Name)
+		}
+	}
+	return ns
+}
+
+// follow watches one kind while this node is elected to.
+func (w *Watcher) follow(ctx context.Context, kind record.Kind) error {
+	if err := pause(ctx, settle); err != nil {
+		return err
+	}
+	var at uint64
+	b := backoff{}
+	watching := false
+	for {
+		if !elector.Watches(w.spreader.Self(), w.spreader.Nodes()) {
+			if watching {
+				w.log.Info("watch ends; another node of the region watches", "kind", kind, "at", at)
+			}
+			watching, at = false, 0
+			if err := pause(ctx, pollElection); err != nil {
+				return err
+			}
+			continue
+		}
+		if !watching {
+			watching = true
+			w.log.Info("watch begins", "kind", kind)
+		}
+		news, err := w.step(ctx, kind, &at)
+		var delay time.Duration
+		switch {
+		case err != nil:
+			delay = b.next()
+		case news:
+			b, delay = backoff{}, gather
+		default:
+			b = backoff{}
+		}
+		if err := pause(ctx, delay); err != nil {
+			return err
+		}
+	}
+}
+
+// step lists or watches once and moves at on.
+func (w *Watcher) step(ctx context.Context, kind record.Kind, at *uint64) (news bool, err error) {
+	var rs []record.Record
+	var next uint64
+	if *at == 0 {
+		err = w.call(ctx, "list "+string(kind), func(ctx context.Context) error {
+			rs, next, err = w.store.List(ctx, kind, false)
+			return err
+		})
+	} else {
+		err = w.watch(ctx, func(ctx context.Context) error {
+			rs, next, err = w.store.Watch(ctx, kind, *at, watchWait)
+			return err
+		})
+	}
+	if err != nil {
+		if fault.KindOf(err) == fault.Gone {
+			w.log.Warn("history of the store is gone; listing again", "kind", kind, "at", *at)
+			*at = 0
+		}
+		return false, err
+	}
+	*at = next
+	if len(rs) > 0 {
+		w.spreader.Learn(rs)
+	}
+	return len(rs) > 0, nil
+}
+
+func (w *Watcher) watch(ctx context.Context, f func(context.Context) error) error {
+	return w.limited(ctx, "watch", watchWait+watchMargin, f)
+}
+
+func (w *Watcher) call(ctx context.Context, what string, f func(context.Context) error) error {
+	return w.limited(ctx, what, callTimeout, f)
+}
+
+// limited does one call and keeps whether the store answers.
+func (w *Watcher) limited(ctx context.Context, what string, limit time.Duration, f func(context.Context) error) error {
+	inner, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	calls.Inc(1)
+	err := f(inner)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if err != nil {
+		failures.Inc(1)
+		w.log.Warn("store call failed", "call", what, "kind", fault.KindOf(err), "error", err)
+	}
+	w.spreader.Reaches(err == nil || fault.KindOf(err) == fault.Gone)
+	return err
+}
+
+// Leave removes this node's entry, when its host is taken away.
+func (w *Watcher) Leave(ctx context.Context) {
+	err := w.call(ctx, "delete entry", func(ctx context.Context) error {
+		return w.store.Delete(ctx, record.Hosts, w.node)
+	})
+	if err != nil {
+		w.log.Warn("entry stays in the store", "node", w.node, "error", err)
+	}
+}
+
+// backoff is the pause between failed calls.
+type backoff struct {
+	last time.Duration
+}
+
+func (b *backoff) next() time.Duration {
+	b.last = min(retryMost, max(retryLeast, 2*b.last))
+	return b.last/2 + rand.N(b.last/2)
+}
+
+// pause waits, or returns the error of a context that ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
