--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-MODULES := mesh node ctl objects stub load bench
-PROGRAMS := node ctl objects stub load bench
+MODULES := mesh node ctl objects platform stub load bench
+PROGRAMS := node ctl objects platform stub load bench
 export GOTOOLCHAIN := local
 
 .PHONY: demo test bench build format lint fuzz results capacity
