slotter, forwarder: give slots to calls that can still meet their objective

Change: calls wait only until the latest start that meets the objective, counted from the caller's first attempt; endpoints that refuse are held, and a crowd is refused at once; load of endpoints without a fresh report is taken to be the average. Distance counts as a part of the objective.

--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -42,6 +42,7 @@
 	Caller     string      `cbor:"19,keyasint,omitempty"` // service beside which the request began
 	Rank       int         `cbor:"20,keyasint,omitempty"` // urgency; 0 is the highest
 	Patience   int64       `cbor:"21,keyasint,omitempty"` // longest wait for a slot, in milliseconds
+	Start      int64       `cbor:"22,keyasint,omitempty"` // milliseconds until the latest start that meets the latency objective
 }
 
 // New returns a call with the fields, whose slices are not changed afterwards.
@@ -119,5 +120,8 @@
 // Patience returns the longest wait for a slot, in milliseconds.
 func (c Call) Patience() int64 { return c.f.Patience }
 
+// Start returns the milliseconds until the latest start that meets the latency objective; it may have passed.
+func (c Call) Start() int64 { return c.f.Start }
+
 // Fields returns a copy of the values, to build a changed call from.
 func (c Call) Fields() Fields { return c.f }
--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -27,11 +27,12 @@
 	leastPatience = 10 * time.Millisecond
 )
 
-// distance is what a call to each tier must save in waiting time to be sent there: the way there and back and the
-// volume that it moves. Volume between regions is dear, so bulky calls stay near unless they would be late.
+// distance is what a call to each tier must save in waiting time to be sent there, as a part of the rule's latency
+// objective: volume between data centres and regions is paid for, so calls leave only when they would be late else.
+// Bulky calls move a hundred times the volume.
 var (
-	distance = [...]time.Duration{target.Own: 0, target.Near: time.Millisecond, target.Region: 12 * time.Millisecond, target.Far: 130 * time.Millisecond}
-	bulky    = [...]time.Duration{target.Own: 0, target.Near: 2 * time.Millisecond, target.Region: 60 * time.Millisecond, target.Far: 700 * time.Millisecond}
+	distance = [...]float64{target.Own: 0, target.Near: 0.002, target.Region: 0.03, target.Far: 0.45}
+	bulky    = [...]float64{target.Own: 0, target.Near: 0.005, target.Region: 0.3, target.Far: 1.2}
 )
 
 // Question is what one choice depends on.
@@ -39,6 +40,7 @@
 	Targets  []*target.Target
 	Exclude  []*target.Target // already tried
 	Expected time.Duration    // usual time of the rule's calls in the upstream
+	Aim      time.Duration    // latency objective of the rule
 	Bulky    bool
 	Now      time.Time
 	Random   func(int) int // returns a number in [0, n)
@@ -47,7 +49,7 @@
 // Choice is the endpoint for one attempt.
 type Choice struct {
 	target   *target.Target
-	expected time.Duration
+	wait     time.Duration
 	patience time.Duration
 	only     bool
 }
@@ -55,8 +57,8 @@
 // Target returns the endpoint, or nil if there is none.
 func (c Choice) Target() *target.Target { return c.target }
 
-// Expected returns the time until the answer is expected.
-func (c Choice) Expected() time.Duration { return c.expected }
+// Wait returns the expected wait for a slot.
+func (c Choice) Wait() time.Duration { return c.wait }
 
 // Patience returns how long waiting for a slot there is better than the second choice.
 func (c Choice) Patience() time.Duration { return c.patience }
@@ -69,11 +71,12 @@
 func Choose(q Question) Choice {
 	var best, second *target.Target
 	var low, next, queue time.Duration
+	usual := utilisation(q)
 	for _, t := range q.Targets {
 		if slices.Contains(q.Exclude, t) {
 			continue
 		}
-		score, wait := weigh(t, q)
+		score, wait := weigh(t, q, usual)
 		switch {
 		case best == nil || score < low:
 			second, next = best, low
@@ -82,15 +85,30 @@
 			second, next = t, score
 		}
 	}
-	c := Choice{target: best, expected: low, only: second == nil}
+	c := Choice{target: best, wait: queue, only: second == nil}
 	if second != nil {
 		c.patience = max(leastPatience, next-(low-queue))
 	}
 	return c
 }
 
+// utilisation returns the part of the slots that other nodes use, on average over the endpoints that have reported
+// lately. It stands in for endpoints that have not: a far one would seem idle in a crowd else.
+func utilisation(q Question) float64 {
+	var used, known float64
+	for _, t := range q.Targets {
+		_, others, weight := t.Gauge().Load(q.Now)
+		used += weight * others
+		known += weight * float64(max(1, t.Endpoint().Slots()))
+	}
+	if known == 0 {
+		return 0
+	}
+	return used / known
+}
+
 // weigh returns the score and the part of it that is the expected wait for a slot.
-func weigh(t *target.Target, q Question) (score, wait time.Duration) {
+func weigh(t *target.Target, q Question, usual float64) (score, wait time.Duration) {
 	g, e := t.Gauge(), t.Endpoint()
 	service := time.Duration(float64(q.Expected) * g.Pace())
 	if e.Warm().After(q.Now) {
@@ -100,7 +118,8 @@
 		service = time.Duration(float64(age) * slowFactor)
 	}
 	slots := float64(max(1, e.Slots()))
-	load := g.Load(q.Now)
+	own, others, weight := g.Load(q.Now)
+	load := own + weight*others + (1-weight)*usual*slots
 	full := min(1, load/slots)
 	if over := load + 1 - slots; over > 0 {
 		wait = time.Duration(float64(service) * over / slots)
@@ -113,10 +132,10 @@
 	if g.Ejected(q.Now) {
 		score += ejectedCost
 	}
+	part := distance[t.Tier()]
 	if q.Bulky {
-		score += bulky[t.Tier()]
-	} else {
-		score += distance[t.Tier()]
+		part = bulky[t.Tier()]
 	}
+	score += time.Duration(part * float64(q.Aim))
 	return score + score*time.Duration(q.Random(jitter))/1000, wait
 }
--- a/mesh/forwarder/decide.go
+++ b/mesh/forwarder/decide.go
@@ -16,7 +16,7 @@
 	reroute  action = "reroute" // another endpoint gets the request, as no upstream has seen it
 	repeat   action = "repeat"  // another endpoint gets the request, at the cost of a repeat
 	giveUp   action = "give up" // the request is refused or has failed
-	maxSends        = 5         // of one request to nodes, so that a crowd does not circulate
+	maxSends        = 4         // of one request to nodes, so that a crowd does not circulate
 	leastRun        = 0.5       // part of the usual time that must be left for another send
 )
 
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -31,8 +32,13 @@
 	// slowFactor is the multiple of a rule's usual time from which an answer of a moving service counts as slow: above
 	// what a slow host and a long request explain together.
 	slowFactor = 3.5
-	// heldFor keeps calls from an endpoint that refused one for about the time until it has room again.
-	heldFor = 60 * time.Millisecond
+	// leastHeld and mostHeld bound how long calls are kept from an endpoint that refused one, half of the wait that it
+	// expects: others may find room earlier.
+	leastHeld = 30 * time.Millisecond
+	mostHeld  = 150 * time.Millisecond
+	// startQuantile is the multiple of the usual time that is kept for the upstream when a call may wait for a slot:
+	// four in five calls take less.
+	startQuantile = 1.5
 	// soon is the time to return that callers are told when no endpoint is known.
 	soon = 250 * time.Millisecond
 	// spare is the part of the mesh's bound on repeats that is used; nodes come and go, and their parts do not add up
@@ -46,6 +52,13 @@
 	unspent  = metrics.GetOrRegisterCounter("call.unaffordable", nil)
 )
 
+// Reasons of refusals that are this part's own.
+const (
+	reasonNone  = "none"  // no endpoint of the service is known, or all were tried
+	reasonCrowd = "crowd" // all endpoints have just refused calls
+	reasonLink  = "link"  // the link with the endpoint's node broke
+)
+
 // viewer has the state that calls read.
 type viewer interface {
 	// Size returns the number of nodes that share the mesh's bounds, this one included.
@@ -86,6 +99,7 @@
 	random     func(int) int
 	estimator  *estimator.Estimator
 	allowances sync.Map // service -> *allowance.Allowance
+	longest    sync.Map // rule -> *atomic.Int64, the longest time that a caller had left, in milliseconds
 }
 
 // Check returns every bad setting with its remedy.
@@ -126,6 +140,7 @@
 	arrivals int
 	expected time.Duration
 	begun    time.Time
+	due      time.Time // end of the latency objective, counted from the caller's first attempt
 	last     *target.Target
 }
 
@@ -135,13 +150,23 @@
 func (f *Forwarder) Forward(ctx context.Context, v *view.View, r *rule.Rule, c call.Fields) answer.Answer {
 	j := &journey{rule: r, service: r.Draw(f.random), view: v, fields: c, begun: time.Now()}
 	j.expected = f.estimator.Expected(r.Name(), r.Aim())
+	j.due = j.begun.Add(r.Aim() - f.waited(r.Name(), c.Left))
 	allowance := f.allowance(j.service)
 	allowance.Earn()
 	targets := v.Pool(j.service).Draw(f.random)
 	for {
-		t, patience := f.choose(j, targets)
+		choice := f.choose(j, targets)
+		t := choice.Target()
 		if t == nil {
-			return f.lost(j, answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: "none", Wait: soon.Milliseconds()}))
+			return f.lost(j, refusal(reasonNone, soon))
+		}
+		if t.Gauge().Held(time.Now()) {
+			// The choice costs more than any other, so all endpoints have just refused a call.
+			return f.lost(j, refusal(reasonCrowd, max(soon, choice.Wait())))
+		}
+		patience := choice.Patience()
+		if choice.Only() {
+			patience = 0
 		}
 		a := f.send(ctx, j, t, patience)
 		left := remaining(ctx)
@@ -182,15 +207,37 @@
 	return time.Minute
 }
 
-func (f *Forwarder) choose(j *journey, targets []*target.Target) (*target.Target, time.Duration) {
-	c := chooser.Choose(chooser.Question{
-		Targets: targets, Exclude: j.tried, Expected: j.expected, Bulky: j.rule.Bulky(), Now: time.Now(), Random: f.random,
+func (f *Forwarder) choose(j *journey, targets []*target.Target) chooser.Choice {
+	return chooser.Choose(chooser.Question{
+		Targets: targets, Exclude: j.tried, Expected: j.expected, Aim: j.rule.Aim(), Bulky: j.rule.Bulky(), Now: time.Now(),
+		Random: f.random,
 	})
-	patience := c.Patience()
-	if c.Only() {
-		patience = 0
+}
+
+func refusal(reason string, wait time.Duration) answer.Answer {
+	return answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reason, Wait: wait.Milliseconds()})
+}
+
+// waited returns how long the caller has waited before this attempt. A first attempt leaves the longest time, so the
+// difference from the longest one seen for the rule is what earlier attempts took.
+func (f *Forwarder) waited(rule string, left int64) time.Duration {
+	if left <= 0 {
+		return 0
+	}
+	found, ok := f.longest.Load(rule)
+	if !ok {
+		found, _ = f.longest.LoadOrStore(rule, &atomic.Int64{})
+	}
+	longest := found.(*atomic.Int64)
+	for {
+		old := longest.Load()
+		if left <= old {
+			return time.Duration(old-left) * time.Millisecond
+		}
+		if longest.CompareAndSwap(old, left) {
+			return 0
+		}
 	}
-	return c.Target(), patience
 }
 
 // send does one attempt and keeps what it says of the endpoint.
@@ -202,10 +249,12 @@
 	c.Service, c.Version, c.Instance = e.Service(), e.Version(), e.Instance()
 	c.Route, c.Rank, c.Idempotent, c.Patience = j.rule.Name(), j.rule.Rank(), j.rule.Idempotent(), patience.Milliseconds()
 	c.Left = max(1, remaining(ctx).Milliseconds())
+	usual := time.Duration(float64(j.expected) * g.Pace())
+	c.Start = time.Until(j.due.Add(-time.Duration(startQuantile * float64(usual)))).Milliseconds()
 	mark := g.Begin(time.Now())
 	a := f.carry(ctx, t, call.New(c))
 	g.End(mark)
-	f.learn(j, t, a)
+	f.learn(j, t, a, c.Start > 0)
 	if arrived(a) {
 		j.arrivals++
 	}
@@ -220,9 +269,9 @@
 	if err == nil {
 		return a
 	}
-	w := answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: "link"}
+	w := answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: reasonLink}
 	if fault.KindOf(err) == fault.NotRun {
-		w = answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: "link"}
+		w = answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonLink}
 	}
 	if ctx.Err() != nil {
 		w.Reason = exchanger.ReasonTimeout
@@ -234,7 +283,9 @@
 }
 
 // learn keeps what an answer says of the endpoint.
-func (f *Forwarder) learn(j *journey, t *target.Target, a answer.Answer) {
+//
+// Only a refusal of a call that could have waited says that there is a crowd.
+func (f *Forwarder) learn(j *journey, t *target.Target, a answer.Answer, patient bool) {
 	now := time.Now()
 	e, g := t.Endpoint(), t.Gauge()
 	if a.Slots() > 0 {
@@ -244,8 +295,11 @@
 	bad := failed(a)
 	switch {
 	case a.Ran() == answer.No:
-		g.Hold(now.Add(heldFor))
-		if bad || a.Reason() == "link" {
+		if patient {
+			wait := time.Duration(a.Wait()) * time.Millisecond
+			g.Hold(now.Add(min(mostHeld, max(leastHeld, wait/2))))
+		}
+		if bad || a.Reason() == reasonLink {
 			g.Fail(now)
 		}
 	case bad:
@@ -288,7 +342,7 @@
 // attributes are the inputs of the last decision on a request, for its log line.
 func (j *journey) attributes(a answer.Answer) []any {
 	as := []any{
-		"id", j.fields.Request, "rule", j.rule.Name(), "service", j.service, "caller", j.fields.Caller, "status", a.Status(),
+		"id", j.fields.Request, "rule", j.rule.Name(), "rank", j.rule.Rank(), "service", j.service, "caller", j.fields.Caller, "status", a.Status(),
 		"ran", a.Ran(), "sends", j.sends, "arrivals", j.arrivals, "took", time.Since(j.begun).Milliseconds(),
 		"expected", j.expected.Milliseconds(),
 	}
--- a/mesh/gauge/gauge.go
+++ b/mesh/gauge/gauge.go
@@ -63,14 +63,16 @@
 // Outstanding returns the calls that this node has at the endpoint.
 func (g *Gauge) Outstanding() int { return int(g.outstanding.Load()) }
 
-// Load returns the calls at the endpoint, those of other nodes as last reported.
-func (g *Gauge) Load(now time.Time) float64 {
-	own := float64(max(0, g.outstanding.Load()))
-	age := g.since(now) - g.reportedAt.Load()
-	if g.reportedAt.Load() == 0 || age >= int64(reportAge) {
-		return own
+// Load returns the calls that this node has at the endpoint, those that other nodes had there by the last answer, and how
+// much the latter still says, from 1 down to 0.
+func (g *Gauge) Load(now time.Time) (own, others, weight float64) {
+	own = float64(max(0, g.outstanding.Load()))
+	at := g.reportedAt.Load()
+	if at == 0 {
+		return own, 0, 0
 	}
-	return own + float64(g.others.Load())*(1-float64(age)/float64(reportAge))
+	weight = max(0, 1-float64(g.since(now)-at)/float64(reportAge))
+	return own, float64(g.others.Load()), weight
 }
 
 // Age returns how long the outstanding calls have been running on average, or zero.
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -35,10 +35,6 @@
 	defaultTimeout = 10 * time.Second
 	// linger is how long a stopping node takes new requests, until callers have noticed that it is not ready.
 	linger = 2300 * time.Millisecond
-	// drainTick is the interval at which a stopping node checks for requests in progress.
-	drainTick = 25 * time.Millisecond
-	// closeTime is kept for closing idle connections.
-	closeTime = 300 * time.Millisecond
 )
 
 var (
@@ -157,20 +153,15 @@
 	}
 	r.draining.Store(true)
 	r.log.Info("drain begins", "active", r.active.Load())
-	t := time.NewTicker(drainTick)
+	t := time.NewTimer(linger)
 	defer t.Stop()
-	begun := time.Now()
-	for time.Since(begun) < linger || r.active.Load() > 0 {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return fault.Wrap(fault.Unavailable, ctx.Err(), strconv.FormatInt(r.active.Load(), 10)+" requests are cut off", "allow more time with --drain")
-		}
+	select {
+	case <-t.C:
+	case <-ctx.Done():
 	}
-	limited, cancel := context.WithTimeout(ctx, closeTime)
-	defer cancel()
-	if err := r.server.Shutdown(limited); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return err
+	// Waiting until no request is in progress would never end while callers keep coming.
+	if err := r.server.Shutdown(ctx); err != nil {
+		return fault.Wrap(fault.Unavailable, err, strconv.FormatInt(r.active.Load(), 10)+" requests are cut off", "allow more time with --drain")
 	}
 	return nil
 }
@@ -204,7 +195,7 @@
 	}
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: headers(q.Header), Body: body,
-		Request: id, Caller: r.origin.Service(),
+		Request: id, Caller: r.origin.Service(), Left: left.Milliseconds(),
 	})
 	histogram(match.Name()).Update(time.Since(begun).Milliseconds())
 	if q.Context().Err() != nil {
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -111,7 +111,10 @@
 	if !ok {
 		deadline = begin.Add(time.Minute)
 	}
-	request := slotter.Request{Rank: c.Rank(), Deadline: deadline, Patience: time.Duration(c.Patience()) * time.Millisecond}
+	request := slotter.Request{
+		Rank: c.Rank(), Deadline: deadline, Start: begin.Add(time.Duration(c.Start()) * time.Millisecond),
+		Patience: time.Duration(c.Patience()) * time.Millisecond,
+	}
 	if refusal, wait := p.slotter.Enter(ctx, request); refusal != "" {
 		return r.refuse(c, p, string(refusal), wait)
 	}
@@ -179,6 +182,6 @@
 		f.Outstanding, f.Slots = p.slotter.Outstanding(), p.slotter.Slots()
 	}
 	r.log.Info("call refused", "id", c.Request(), "instance", c.Instance(), "reason", reason, "outstanding", f.Outstanding,
-		"slots", f.Slots, "wait", f.Wait, "patience", c.Patience(), "left", c.Left())
+		"slots", f.Slots, "wait", f.Wait, "patience", c.Patience(), "start", c.Start(), "left", c.Left(), "rank", c.Rank())
 	return answer.New(f)
 }
--- a/mesh/slotter/queue.go
+++ b/mesh/slotter/queue.go
@@ -7,17 +7,17 @@
 
 // ticket is one waiting call.
 type ticket struct {
-	rank     int
-	deadline time.Time
-	granted  chan Refusal // receives the result once
+	rank    int
+	start   time.Time
+	granted chan Refusal // receives the result once
 }
 
-// before reports whether a is served first: the more urgent, then the earlier deadline.
+// before reports whether a is served first: the more urgent, then the one that must start earlier.
 func before(a, b *ticket) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
-	return a.deadline.Before(b.deadline)
+	return a.start.Before(b.start)
 }
 
 // queue holds waiting calls in the order in which they are served. It is not safe for concurrent use.
--- a/mesh/slotter/slotter.go
+++ b/mesh/slotter/slotter.go
@@ -30,7 +30,8 @@
 type Request struct {
 	Rank     int           // 0 is the most urgent
 	Deadline time.Time     // when the caller stops waiting
-	Patience time.Duration // longest wait for a slot; 0 for no bound but the deadline
+	Start    time.Time     // latest start that meets the latency objective
+	Patience time.Duration // longest wait for a slot; 0 for no bound but the others
 }
 
 // Slotter hands out slots. A call that finds a free slot and no queue takes no lock.
@@ -108,7 +109,7 @@
 }
 
 func (s *Slotter) wait(ctx context.Context, r Request, now time.Time) (Refusal, time.Duration) {
-	t := &ticket{rank: r.Rank, deadline: r.Deadline, granted: make(chan Refusal, 1)}
+	t := &ticket{rank: r.Rank, start: r.Start, granted: make(chan Refusal, 1)}
 	s.mutex.Lock()
 	expected := s.queue.expected(t, s.Mean(), s.Slots())
 	if refusal := decide(r, now, expected, s.Mean()); refusal != "" || s.closed.Load() {
@@ -123,11 +124,7 @@
 	// A slot that was given back before waiting was raised has found no queue.
 	s.serve()
 	s.mutex.Unlock()
-	limit := time.Until(r.Deadline)
-	if r.Patience > 0 {
-		limit = min(limit, r.Patience)
-	}
-	timer := time.NewTimer(limit)
+	timer := time.NewTimer(time.Until(r.latest(now)))
 	defer timer.Stop()
 	select {
 	case refusal := <-t.granted:
@@ -147,13 +144,26 @@
 	return s.granted(<-t.granted)
 }
 
+// latest returns when the call stops waiting. A call that can no longer meet its latency objective makes way for those
+// that can: in a crowd, first come first served would let all of them miss it.
+func (r Request) latest(now time.Time) time.Time {
+	at := r.Deadline
+	if r.Start.Before(at) {
+		at = r.Start
+	}
+	if r.Patience > 0 && now.Add(r.Patience).Before(at) {
+		at = now.Add(r.Patience)
+	}
+	return at
+}
+
 // decide says at once whether waiting makes sense.
 func decide(r Request, now time.Time, expected, mean time.Duration) Refusal {
 	need := time.Duration(float64(mean) * worthwhile)
 	switch {
 	case now.Add(expected + need).After(r.Deadline):
 		return Late
-	case r.Patience > 0 && expected > r.Patience:
+	case now.Add(expected).After(r.latest(now)):
 		return Full
 	}
 	return ""
