notice: encode a digest's map in the order of its keys

Cause: TestRoundTrip failed once in a run of the whole suite and once in six runs of its own: maps were written in random order, so equal digests differed. Ruled out: load, as it fails alone on an idle machine.

--- a/mesh/elector/elector.go
+++ b/mesh/elector/elector.go
@@ -8,15 +8,16 @@
 	Alive   bool // it has been heard of lately
 }
 
-// Watches reports whether own should watch the store for its region: it reaches the store or nobody does, and no
-// node of the region that reaches it has a lower address.
-func Watches(own Candidate, peers []Candidate) bool {
+// Place returns how many nodes of own's region go before it as watchers of the store: those that reach it and, among
+// them, those with lower addresses.
+func Place(own Candidate, peers []Candidate) int {
+	n := 0
 	for _, p := range peers {
 		if p.Alive && p.Region == own.Region && first(p, own) {
-			return false
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // Coordinates reports whether own should decide for the whole mesh.
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -22,7 +22,8 @@
 	queueSize    = 256
 	// writeTimeout closes links to peers that no longer read.
 	writeTimeout = 10 * time.Second
-	closeTimeout = time.Second
+	// closeTimeout bounds the exchange of close messages, also with a peer that no longer reads.
+	closeTimeout = 200 * time.Millisecond
 	idleTimeout  = 30 * time.Second
 	// writeBuffer holds a frame with a body of 64 KB as a whole; with 32 KB the dialer writes it in three pieces, each with
 	// a system call.
--- a/mesh/notice/sets.go
+++ b/mesh/notice/sets.go
@@ -21,7 +21,7 @@
 func (d Digest) Sums() map[string]uint64 { return d.w.Sums }
 
 // MarshalCBOR writes the digest's own format.
-func (d Digest) MarshalCBOR() ([]byte, error) { return cbor.Marshal(d.w) }
+func (d Digest) MarshalCBOR() ([]byte, error) { return sorted.Marshal(d.w) }
 
 // UnmarshalCBOR reads the digest's own format.
 func (d *Digest) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &d.w) }
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -28,8 +28,10 @@
 	callTimeout = 1500 * time.Millisecond
 	// watchMargin is added to watchWait for the way and a busy store.
 	watchMargin = 1500 * time.Millisecond
-	// gather is the pause after news, so that changes in quick succession come with one call.
-	gather = 150 * time.Millisecond
+	// gather is the pause after news, so that changes in quick succession come with one call. gatherSpare is that of a
+	// spare watcher, whose news is late only if the first one is deaf.
+	gather      = 150 * time.Millisecond
+	gatherSpare = time.Second
 	// pollElection is the interval at which a node that does not watch checks whether it should.
 	pollElection = 250 * time.Millisecond
 	// settle is how long a starting node waits for others to tell it the configuration before it watches itself.
@@ -43,6 +45,10 @@
 	relistAlone = 2 * time.Second
 )
 
+// watchers is the number of nodes in each region that watch a kind. The store may turn hosts away in silence, so a
+// second one hears of a configuration when the first one does not; orders have seconds until they matter.
+var watchers = map[record.Kind]int{record.Configuration: 2, record.Orders: 1}
+
 var (
 	calls    = metrics.GetOrRegisterCounter("store.calls", nil)
 	failures = metrics.GetOrRegisterCounter("store.failures", nil)
@@ -170,9 +176,10 @@
 	b := backoff{}
 	watching := false
 	for {
-		if !elector.Watches(w.spreader.Self(), w.spreader.Nodes()) {
+		place := elector.Place(w.spreader.Self(), w.spreader.Nodes())
+		if place >= watchers[kind] {
 			if watching {
-				w.log.Info("watch ends; another node of the region watches", "kind", kind, "at", at)
+				w.log.Info("watch ends; other nodes of the region watch", "kind", kind, "at", at)
 			}
 			watching, at = false, 0
 			if err := pause(ctx, pollElection); err != nil {
@@ -182,13 +189,15 @@
 		}
 		if !watching {
 			watching = true
-			w.log.Info("watch begins", "kind", kind)
+			w.log.Info("watch begins", "kind", kind, "place", place)
 		}
 		news, err := w.step(ctx, kind, &at)
 		var delay time.Duration
 		switch {
 		case err != nil:
 			delay = b.next()
+		case news && place > 0:
+			b, delay = backoff{}, gatherSpare
 		case news:
 			b, delay = backoff{}, gather
 		default:
