--- a/mesh/elector/elector.go
+++ b/mesh/elector/elector.go
@@ -1,33 +1,57 @@
 package elector
 
+import (
+	"slices"
+	"time"
+)
+
+// step is the difference in the distance to the store that counts: a way between regions is longer than it, and the
+// noise of one within a region shorter.
+const step = 15 * time.Millisecond
+
 // Candidate is a node as the deciding node sees it.
 type Candidate struct {
 	Address string
-	Region  string
-	Store   bool // it reaches the store, as it says
-	Alive   bool // it has been heard of lately
+	Store   bool          // it reaches the store, as it says
+	Far     time.Duration // the shortest time that an answer of the store took
+	Alive   bool          // it has been heard of lately
 }
 
-// Place returns how many nodes of own's region go before it as watchers of the store: those that reach it and, among
-// them, those with lower addresses.
+// Place returns how many nodes go before own as watchers of the store: those that reach it, the nearest first, as what
+// the store sends between regions is paid for; then those with lower addresses.
 func Place(own Candidate, peers []Candidate) int {
 	n := 0
 	for _, p := range peers {
-		if p.Alive && p.Region == own.Region && first(p, own) {
+		if p.Alive && first(p, own) {
 			n++
 		}
 	}
 	return n
 }
 
-// Coordinates reports whether own should decide for the whole mesh.
-func Coordinates(own Candidate, peers []Candidate) bool {
+// Leaders returns the first n nodes in the order of Place, own among them if it is one.
+func Leaders(own Candidate, peers []Candidate, n int) []Candidate {
+	all := []Candidate{own}
 	for _, p := range peers {
-		if p.Alive && first(p, own) {
-			return false
+		if p.Alive {
+			all = append(all, p)
 		}
 	}
-	return own.Store
+	slices.SortFunc(all, func(a, b Candidate) int {
+		switch {
+		case first(a, b):
+			return -1
+		case first(b, a):
+			return 1
+		}
+		return 0
+	})
+	return all[:min(n, len(all))]
+}
+
+// Coordinates reports whether own should decide for the whole mesh.
+func Coordinates(own Candidate, peers []Candidate) bool {
+	return own.Store && Place(own, peers) == 0
 }
 
 // first reports whether a goes before b.
@@ -35,5 +59,8 @@
 	if a.Store != b.Store {
 		return a.Store
 	}
+	if x, y := a.Far/step, b.Far/step; a.Store && x != y {
+		return x < y
+	}
 	return a.Address < b.Address
 }
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -39,6 +39,8 @@
 	farFactor     = 3
 	// silence is how long a node that sends no pulse is taken to be reachable, in intervals: two pulses and a margin.
 	silence = 2.6
+	// pullInterval is the pause between two questions for missing records, above the time of an answer from afar.
+	pullInterval = 250 * time.Millisecond
 	// relink is how long an endpoint stays in use after the last link with its node broke, as links are opened again
 	// within some 50 ms when the node lives.
 	relink = 300 * time.Millisecond
@@ -101,6 +103,7 @@
 	nodes     atomic.Pointer[[]elector.Candidate]
 	revisions [2]atomic.Uint64 // of the configuration and of the orders, for other goroutines
 	store     atomic.Bool
+	far       atomic.Int64 // shortest time of an answer of the store, nanoseconds
 	leaving   atomic.Bool
 	size      atomic.Int64 // largest number of other nodes
 
@@ -112,6 +115,7 @@
 	since   time.Time
 	own     peer
 	number  uint64
+	pulled  time.Time // when missing records were last asked for
 	dirty   bool
 }
 
@@ -161,7 +165,7 @@
 
 // Self returns this node as a candidate.
 func (g *Gossiper) Self() elector.Candidate {
-	return elector.Candidate{Address: g.config.Node, Region: g.config.Region, Store: g.store.Load() && !g.leaving.Load(), Alive: true}
+	return elector.Candidate{Address: g.config.Node, Store: g.store.Load() && !g.leaving.Load(), Far: time.Duration(g.far.Load()), Alive: true}
 }
 
 // Revision returns the highest revision of the kind that is known.
@@ -178,8 +182,12 @@
 // Found takes addresses of nodes from the store.
 func (g *Gossiper) Found(addresses []string) { g.put(found(addresses)) }
 
-// Reaches takes whether this node reaches the store; other nodes are told of a change at once.
-func (g *Gossiper) Reaches(store bool) {
+// Reaches takes whether this node reaches the store, and the time that a quick answer took or zero; other nodes are told
+// of a change at once.
+func (g *Gossiper) Reaches(store bool, took time.Duration) {
+	if old := g.far.Load(); took > 0 && (old == 0 || int64(took) < old) {
+		g.far.Store(int64(took))
+	}
 	if g.store.Swap(store) == store {
 		return
 	}
@@ -345,6 +353,8 @@
 			region = p.pulse.Region
 		}
 		g.spread(g.keep(b.Records), region, from)
+	case *pull:
+		g.supply(p, b)
 	case *nodes:
 		for _, a := range b.Addresses {
 			g.know(a)
@@ -362,11 +372,59 @@
 		g.dirty = true
 		g.logPeer(p)
 	}
-	if old == nil || old.Store != u.Store || old.Leaving != u.Leaving {
+	if old == nil || old.Store != u.Store || old.Far != u.Far || old.Leaving != u.Leaving {
 		g.publishNodes()
 	}
-	missing := g.archive.after(record.Configuration, u.Configuration)
-	missing = append(missing, g.archive.after(record.Orders, u.Orders)...)
+	if g.plan == nil && g.ahead(p) {
+		g.catchUp(p)
+	}
+}
+
+// ahead reports whether the peer has records that this node lacks.
+func (g *Gossiper) ahead(p *peer) bool {
+	return p.linked && p.pulse != nil &&
+		(p.pulse.Configuration > g.archive.highest[record.Configuration] || p.pulse.Orders > g.archive.highest[record.Orders])
+}
+
+// catchUp asks the peer for missing records, unless another one was asked just now.
+func (g *Gossiper) catchUp(p *peer) {
+	now := g.now()
+	if now.Sub(g.pulled) < pullInterval {
+		return
+	}
+	g.pulled = now
+	q := &pull{Configuration: g.archive.highest[record.Configuration], Orders: g.archive.highest[record.Orders]}
+	g.log.Info("missing records asked for", "peer", p.address, "configuration", q.Configuration, "orders", q.Orders,
+		"theirs", p.pulse.Configuration)
+	g.sender.Send(p.address, message.New(kindPull, q))
+}
+
+// lag asks the nearest peer that is ahead. What is passed on arrives within a tick, so only a peer that has been ahead
+// for two of them is asked.
+func (g *Gossiper) lag() {
+	var best *peer
+	for _, p := range g.peers {
+		if !g.ahead(p) {
+			p.ahead = 0
+			continue
+		}
+		p.ahead++
+		if p.ahead < 2 {
+			continue
+		}
+		if best == nil || p.pulse.Region == g.config.Region && best.pulse.Region != g.config.Region {
+			best = p
+		}
+	}
+	if best != nil {
+		g.catchUp(best)
+	}
+}
+
+// supply sends the records that a peer lacks.
+func (g *Gossiper) supply(p *peer, q *pull) {
+	missing := g.archive.after(record.Configuration, q.Configuration)
+	missing = append(missing, g.archive.after(record.Orders, q.Orders)...)
 	if len(missing) > 0 {
 		g.sender.Send(p.address, message.New(kindRecords, &records{Records: missing}))
 	}
@@ -490,7 +548,7 @@
 func (g *Gossiper) ownPulse() message.Message {
 	u := &pulse{
 		Incarnation: g.config.Incarnation, Number: g.nextNumber(), DataCentre: g.config.DataCentre, Region: g.config.Region,
-		Store: g.store.Load(), Leaving: g.leaving.Load(),
+		Store: g.store.Load(), Far: time.Duration(g.far.Load()).Milliseconds(), Leaving: g.leaving.Load(),
 		Configuration: g.archive.highest[record.Configuration], Orders: g.archive.highest[record.Orders],
 	}
 	if g.own.pulse != nil {
@@ -536,6 +594,7 @@
 func (g *Gossiper) tick() {
 	now := g.now()
 	g.pulse(false)
+	g.lag()
 	linked := 0
 	for address, p := range g.peers {
 		if p.linked {
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -11,11 +11,13 @@
 	kindPulse   = "gossip.pulse"
 	kindRecords = "gossip.records"
 	kindNodes   = "gossip.nodes"
+	kindPull    = "gossip.pull"
 )
 
 func init() {
 	encoder.Register(kindPulse, func() any { return new(pulse) })
 	encoder.Register(kindRecords, func() any { return new(records) })
+	encoder.Register(kindPull, func() any { return new(pull) })
 	encoder.Register(kindNodes, func() any { return new(nodes) })
 }
 
@@ -27,6 +29,7 @@
 	DataCentre    string
 	Region        string
 	Store         bool               // the node reaches the store
+	Far           int64              // milliseconds that the quickest answer of the store took
 	Leaving       bool               // the node is stopping
 	Configuration uint64             // revision of the configuration that the node has
 	Orders        uint64             // highest revision of an order that the node has
@@ -44,3 +47,10 @@
 	_         struct{} `cbor:",toarray"`
 	Addresses []string
 }
+
+// pull asks for the records that are newer than the revisions.
+type pull struct {
+	_             struct{} `cbor:",toarray"`
+	Configuration uint64
+	Orders        uint64
+}
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -15,6 +15,7 @@
 	heard   time.Time // last pulse
 	pulsed  time.Time // last own pulse to it
 	pulse   *pulse
+	ahead   int          // ticks for which it has had records that this node lacks
 	gauge   *gauge.Gauge // of its endpoint's current start
 	start   string       // the start that gauge measures
 }
@@ -29,7 +30,7 @@
 
 func (p *peer) candidate(now time.Time, interval time.Duration) elector.Candidate {
 	return elector.Candidate{
-		Address: p.address, Region: p.pulse.Region, Store: p.pulse.Store && !p.pulse.Leaving,
+		Address: p.address, Store: p.pulse.Store && !p.pulse.Leaving, Far: time.Duration(p.pulse.Far) * time.Millisecond,
 		Alive: p.reachable(now, interval),
 	}
 }
--- a/mesh/mover/counter.go
+++ b/mesh/mover/counter.go
@@ -7,7 +7,7 @@
 	"wisteriaspoke.example/mesh/canary"
 )
 
-// cellKey names one cell.
+// cellKey names one cell. Only endpoints of the new version are told apart.
 type cellKey struct {
 	rule, instance string
 	fresh          bool
@@ -38,14 +38,17 @@
 	}
 }
 
-func (c *counter) list() []canary.Cell {
+// list returns the cells and the number of calls in them.
+func (c *counter) list() ([]canary.Cell, uint64) {
 	var cells []canary.Cell
+	var calls uint64
 	for k, v := range c.cells.Range {
 		key, n := k.(cellKey), v.(*cellCounts)
+		calls += uint64(n.calls.Load())
 		cells = append(cells, canary.Cell{
 			Rule: key.rule, Instance: key.instance, New: key.fresh,
 			Calls: n.calls.Load(), Failures: n.failures.Load(), Slow: n.slow.Load(),
 		})
 	}
-	return cells
+	return cells, calls
 }
--- a/mesh/mover/mover.go
+++ b/mesh/mover/mover.go
@@ -37,6 +37,8 @@
 	// statusTimeout bounds one write of a move's state.
 	statusTimeout = 1500 * time.Millisecond
 	inputQueue    = 1024
+	// judges is the number of nodes that get the evidence of all; the second one is there when the first one ends.
+	judges = 2
 )
 
 var movesBad = metrics.GetOrRegisterCounter("moves.bad", nil)
@@ -55,6 +57,12 @@
 	Self() elector.Candidate
 }
 
+// carrier sends messages to one node.
+type carrier interface {
+	// Send queues m for the node at address peer without blocking.
+	Send(peer string, m message.Message)
+}
+
 // settler knows which node this is.
 type settler interface {
 	// Config returns what is known of this node.
@@ -85,6 +93,7 @@
 	done      bool
 	counter   *counter
 	evidence  map[string]*evidence // by node
+	testified uint64               // calls in the evidence that was last sent
 	sent      time.Time
 	recorded  order.State // last state written by this node
 	recording bool
@@ -96,6 +105,7 @@
 
 	log      *slog.Logger
 	sender   sender
+	carrier  carrier
 	recorder recorder
 	config   machine.Config
 	inputs   chan any
@@ -129,6 +139,9 @@
 	if m.sender, err = kernel.Need[sender](k); err != nil {
 		return nil, err
 	}
+	if m.carrier, err = kernel.Need[carrier](k); err != nil {
+		return nil, err
+	}
 	if m.recorder, err = kernel.Need[recorder](k); err != nil {
 		return nil, err
 	}
@@ -171,7 +184,11 @@
 	if w == nil {
 		return
 	}
-	w.counter.add(cellKey{rule: rule, instance: instance, fresh: version == w.target}, failed, slow)
+	k := cellKey{rule: rule, fresh: version == w.target}
+	if k.fresh {
+		k.instance = instance
+	}
+	w.counter.add(k, failed, slow)
 }
 
 // Moving reports whether the version is the target of a running move of the service.
@@ -285,7 +302,7 @@
 	if v.bad != "" {
 		return
 	}
-	cells := v.counter.list()
+	cells, _ := v.counter.list()
 	for _, e := range v.evidence {
 		cells = append(cells, e.Cells...)
 	}
@@ -305,9 +322,7 @@
 
 // step sends evidence and, on the deciding node, takes the next step. It returns the number of writes that it began.
 func (m *Mover) step(ctx context.Context, v *move) int {
-	if cells := v.counter.list(); len(cells) > 0 {
-		m.sender.Broadcast(message.New(kindEvidence, &evidence{Order: v.order.ID(), Incarnation: m.config.Incarnation, Cells: cells}))
-	}
+	m.testify(v)
 	m.judge(v)
 	if !elector.Coordinates(m.sender.Self(), m.sender.Nodes()) {
 		return 0
@@ -322,6 +337,21 @@
 	return m.record(ctx, v)
 }
 
+// testify sends what this node has seen to the nodes that judge.
+func (m *Mover) testify(v *move) {
+	cells, calls := v.counter.list()
+	if calls == v.testified {
+		return
+	}
+	v.testified = calls
+	n := message.New(kindEvidence, &evidence{Order: v.order.ID(), Incarnation: m.config.Incarnation, Cells: cells})
+	for _, c := range elector.Leaders(m.sender.Self(), m.sender.Nodes(), judges) {
+		if c.Address != m.config.Node {
+			m.carrier.Send(c.Address, n)
+		}
+	}
+}
+
 // advance takes the next step of a move.
 func (m *Mover) advance(v *move, now time.Time) {
 	pool := m.sender.View().Pool(v.order.Service())
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -45,9 +45,9 @@
 	relistAlone = 2 * time.Second
 )
 
-// watchers is the number of nodes in each region that watch a kind. The store may turn hosts away in silence, so a
-// second one hears of a configuration when the first one does not; orders have seconds until they matter.
-var watchers = map[record.Kind]int{record.Configuration: 2, record.Orders: 1}
+// watchers is the number of nodes that watch a kind. The store may turn hosts away in silence, so spare ones hear of a
+// configuration when the first one does not; orders have seconds until they matter.
+var watchers = map[record.Kind]int{record.Configuration: 4, record.Orders: 2}
 
 var (
 	calls    = metrics.GetOrRegisterCounter("store.calls", nil)
@@ -73,8 +73,8 @@
 	Learn(rs []record.Record)
 	// Found takes addresses of nodes; it does not block.
 	Found(addresses []string)
-	// Reaches takes whether the store answers.
-	Reaches(store bool)
+	// Reaches takes whether the store answers, and the time that a quick answer took or zero.
+	Reaches(store bool, took time.Duration)
 	// Nodes returns the other nodes that have been heard of.
 	Nodes() []elector.Candidate
 	// Self returns this node.
@@ -179,7 +179,7 @@
 		place := elector.Place(w.spreader.Self(), w.spreader.Nodes())
 		if place >= watchers[kind] {
 			if watching {
-				w.log.Info("watch ends; other nodes of the region watch", "kind", kind, "at", at)
+				w.log.Info("watch ends; other nodes watch", "kind", kind, "at", at)
 			}
 			watching, at = false, 0
 			if err := pause(ctx, pollElection); err != nil {
@@ -251,6 +251,7 @@
 	inner, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	calls.Inc(1)
+	begun := time.Now()
 	err := f(inner)
 	if ctx.Err() != nil {
 		return ctx.Err()
@@ -259,7 +260,12 @@
 		failures.Inc(1)
 		w.log.Warn("store call failed", "call", what, "kind", fault.KindOf(err), "error", err)
 	}
-	w.spreader.Reaches(err == nil || fault.KindOf(err) == fault.Gone)
+	took := time.Since(begun)
+	if err != nil || limit > callTimeout {
+		// The time of a watch says nothing about the way.
+		took = 0
+	}
+	w.spreader.Reaches(err == nil || fault.KindOf(err) == fault.Gone, took)
 	return err
 }
 
