runner, gauge: let an endpoint's own node measure its pace

Cause: each caller learned each endpoint's speed from its own few calls. Change: the endpoint's node smooths the time of all calls against the usual time that callers name, and tells it with each answer and pulse, with the number of calls there.

--- a/mesh/answer/answer.go
+++ b/mesh/answer/answer.go
@@ -35,6 +35,7 @@
 	Slots       int           `cbor:"8,keyasint,omitempty"`  // the endpoint's current limit
 	Wait        int64         `cbor:"9,keyasint,omitempty"`  // milliseconds until a refused call is expected to find room
 	Took        int64         `cbor:"10,keyasint,omitempty"` // microseconds in the upstream
+	Pace        int64         `cbor:"11,keyasint,omitempty"` // the upstream's time as a multiple of the usual one, in thousandths
 }
 
 // New returns an answer with the fields, whose slices are not changed afterwards.
@@ -79,5 +80,8 @@
 // Took returns the microseconds that the call spent in the upstream, or 0 if it did not get there.
 func (a Answer) Took() int64 { return a.f.Took }
 
+// Pace returns the upstream's time for calls as a multiple of the usual one, in thousandths, or 0 if unknown.
+func (a Answer) Pace() int64 { return a.f.Pace }
+
 // Fields returns a copy of the values, to build a changed answer from.
 func (a Answer) Fields() Fields { return a.f }
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -43,6 +43,7 @@
 	Rank       int         `cbor:"20,keyasint,omitempty"` // urgency; 0 is the highest
 	Patience   int64       `cbor:"21,keyasint,omitempty"` // longest wait for a slot, in milliseconds
 	Start      int64       `cbor:"22,keyasint,omitempty"` // milliseconds until the latest start that meets the latency objective
+	Usual      int64       `cbor:"23,keyasint,omitempty"` // usual time of such calls in an upstream, in microseconds
 }
 
 // New returns a call with the fields, whose slices are not changed afterwards.
@@ -123,5 +124,8 @@
 // Start returns the milliseconds until the latest start that meets the latency objective; it may have passed.
 func (c Call) Start() int64 { return c.f.Start }
 
+// Usual returns the usual time of such calls in an upstream, in microseconds, or 0 if unknown.
+func (c Call) Usual() int64 { return c.f.Usual }
+
 // Fields returns a copy of the values, to build a changed call from.
 func (c Call) Fields() Fields { return c.f }
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -249,6 +249,7 @@
 	c.Service, c.Version, c.Instance = e.Service(), e.Version(), e.Instance()
 	c.Route, c.Rank, c.Idempotent, c.Patience = j.rule.Name(), j.rule.Rank(), j.rule.Idempotent(), patience.Milliseconds()
 	c.Left = max(1, remaining(ctx).Milliseconds())
+	c.Usual = j.expected.Microseconds()
 	usual := time.Duration(float64(j.expected) * g.Pace())
 	c.Start = time.Until(j.due.Add(-time.Duration(startQuantile * float64(usual)))).Milliseconds()
 	mark := g.Begin(time.Now())
@@ -291,6 +292,9 @@
 	if a.Slots() > 0 {
 		g.Report(a.Outstanding(), now)
 	}
+	if a.Pace() > 0 {
+		g.SetPace(float64(a.Pace()) / 1000)
+	}
 	took := time.Duration(a.Took()) * time.Microsecond
 	bad := failed(a)
 	switch {
@@ -313,9 +317,6 @@
 	if timedOut {
 		took = now.Sub(j.begun)
 	}
-	if a.Ran() == answer.Yes || timedOut {
-		g.Measure(float64(took) / float64(max(1, j.expected)))
-	}
 	if a.Ran() == answer.Yes && a.Status() < 300 && !f.observer.Moving(e.Service(), e.Version()) {
 		f.estimator.Measure(j.rule.Name(), j.rule.Aim(), took)
 	}
--- a/mesh/gauge/gauge.go
+++ b/mesh/gauge/gauge.go
@@ -9,8 +9,6 @@
 const (
 	// reportAge is how long an endpoint's reported load counts; the other callers' calls have mostly ended by then.
 	reportAge = time.Second
-	// paceWeight is the weight of one answer in the smoothed pace, so that about ten answers settle it.
-	paceWeight = 0.12
 	// failureWeight is the weight of one answer in the smoothed share of failures.
 	failureWeight = 0.12
 	// failureAge halves the smoothed share of failures, so that an avoided endpoint is tried again.
@@ -99,16 +97,9 @@
 // Ejected reports whether the endpoint should get calls only when there is no other.
 func (g *Gauge) Ejected(now time.Time) bool { return g.since(now) < g.ejected.Load() }
 
-// Measure takes the ratio of an answer's time in the upstream to the time expected for its rule.
-func (g *Gauge) Measure(ratio float64) {
-	ratio = min(slowest, max(fastest, ratio))
-	for {
-		old := g.pace.Load()
-		next := g.Pace()*(1-paceWeight) + ratio*paceWeight
-		if g.pace.CompareAndSwap(old, math.Float64bits(next)) {
-			return
-		}
-	}
+// SetPace keeps the endpoint's pace as its own node measured it, over the calls of all nodes.
+func (g *Gauge) SetPace(pace float64) {
+	g.pace.Store(math.Float64bits(min(slowest, max(fastest, pace))))
 }
 
 // Pace returns the endpoint's usual time for a call as a multiple of the expected one.
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -82,6 +82,12 @@
 	Split(service string) composer.Split
 }
 
+// loader knows how busy the local upstream is.
+type loader interface {
+	// Load returns the calls at the upstream and its pace in thousandths.
+	Load() (outstanding int, pace int64)
+}
+
 // follower learns the orders.
 type follower interface {
 	// Ordered takes all orders that are known, after each change; it does not block.
@@ -96,6 +102,7 @@
 	sender    sender
 	decoder   decoder
 	splitter  splitter
+	loader    loader
 	followers []follower
 	config    machine.Config
 	inputs    chan any
@@ -140,6 +147,9 @@
 	if g.splitter, err = kernel.Need[splitter](k); err != nil {
 		return nil, err
 	}
+	if g.loader, err = kernel.Need[loader](k); err != nil {
+		return nil, err
+	}
 	own, err := kernel.Need[settler](k)
 	if err != nil {
 		return nil, err
@@ -553,6 +563,7 @@
 	}
 	if g.own.pulse != nil {
 		u.Endpoint = g.own.pulse.Endpoint
+		u.Outstanding, u.Pace = g.loader.Load()
 	}
 	return message.New(kindPulse, u)
 }
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -33,6 +33,8 @@
 	Leaving       bool               // the node is stopping
 	Configuration uint64             // revision of the configuration that the node has
 	Orders        uint64             // highest revision of an order that the node has
+	Outstanding   int                // calls at the upstream
+	Pace          int64              // the upstream's time for calls as a multiple of the usual one, in thousandths
 	Endpoint      *endpoint.Endpoint // nil while no upstream has announced itself
 }
 
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -51,6 +51,26 @@
 	instance  string
 	exchanger *exchanger.Exchanger
 	slotter   *slotter.Slotter
+	pace      atomic.Int64 // time in the upstream as a multiple of the usual one, in thousandths
+}
+
+const (
+	// usualPace is the pace before the first calls.
+	usualPace = 1000
+	// paceWeight is the weight of one call in the smoothed pace, so that some ten calls settle it.
+	paceWeight = 0.1
+	// mostPace bounds one call, as a few odd ones must not exclude an endpoint.
+	mostPace = 10 * usualPace
+)
+
+// measure takes the time of a call.
+func (p *place) measure(spent, usual time.Duration) {
+	if usual <= 0 {
+		return
+	}
+	ratio := min(mostPace, float64(spent)/float64(usual)*usualPace)
+	old := p.pace.Load()
+	p.pace.Store(old + int64(paceWeight*(ratio-float64(old))))
 }
 
 // Runner runs calls on the local upstream.
@@ -85,6 +105,7 @@
 			exchanger: &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect},
 			slotter:   slotter.New(a.Slots),
 		}
+		next.pace.Store(usualPace)
 		r.place.Store(next)
 		if p != nil {
 			p.slotter.Close()
@@ -129,10 +150,19 @@
 	a := p.exchanger.Exchange(ctx, c)
 	r.finish(c, p, a)
 	f := a.Fields()
-	f.Outstanding, f.Slots = p.slotter.Outstanding(), p.slotter.Slots()
+	f.Outstanding, f.Slots, f.Pace = p.slotter.Outstanding(), p.slotter.Slots(), p.pace.Load()
 	return answer.New(f)
 }
 
+// Load returns the calls at the local upstream and its pace in thousandths, or zeros if there is none.
+func (r *Runner) Load() (outstanding int, pace int64) {
+	p := r.place.Load()
+	if p == nil {
+		return 0, 0
+	}
+	return p.slotter.Outstanding(), p.pace.Load()
+}
+
 func (r *Runner) finish(c call.Call, p *place, a answer.Answer) {
 	spent := time.Duration(a.Took()) * time.Microsecond
 	if a.Ran() == answer.No {
@@ -142,6 +172,9 @@
 	if spent > 0 {
 		took.Update(spent.Milliseconds())
 	}
+	if a.Ran() == answer.Yes && a.Status() < http.StatusInternalServerError || a.Reason() == exchanger.ReasonTimeout && spent > 0 {
+		p.measure(spent, time.Duration(c.Usual())*time.Microsecond)
+	}
 	switch a.Reason() {
 	case exchanger.ReasonDown, exchanger.ReasonMoved:
 		r.local.Suspect(p.instance, a.Reason())
@@ -179,7 +212,7 @@
 	refused.Inc(1)
 	f := answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reason, Wait: wait.Milliseconds()}
 	if p != nil {
-		f.Outstanding, f.Slots = p.slotter.Outstanding(), p.slotter.Slots()
+		f.Outstanding, f.Slots, f.Pace = p.slotter.Outstanding(), p.slotter.Slots(), p.pace.Load()
 	}
 	r.log.Info("call refused", "id", c.Request(), "instance", c.Instance(), "reason", reason, "outstanding", f.Outstanding,
 		"slots", f.Slots, "wait", f.Wait, "patience", c.Patience(), "start", c.Start(), "left", c.Left(), "rank", c.Rank())
