forwarder: measure usual times against endpoints' paces

Cause: nodes in the region with two slow endpoints expected 260 ms where others expected 225, so these endpoints seemed only 1.15 times as slow as the rest.

--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -292,9 +292,6 @@
 	if a.Slots() > 0 {
 		g.Report(a.Outstanding(), now)
 	}
-	if a.Pace() > 0 {
-		g.SetPace(float64(a.Pace()) / 1000)
-	}
 	took := time.Duration(a.Took()) * time.Microsecond
 	bad := failed(a)
 	switch {
@@ -318,7 +315,11 @@
 		took = now.Sub(j.begun)
 	}
 	if a.Ran() == answer.Yes && a.Status() < 300 && !f.observer.Moving(e.Service(), e.Version()) {
-		f.estimator.Measure(j.rule.Name(), j.rule.Aim(), took)
+		// Divided by the pace, the times of slow and fast endpoints agree, so nodes near slow ones expect the same.
+		f.estimator.Measure(j.rule.Name(), j.rule.Aim(), time.Duration(float64(took)/g.Pace()))
+	}
+	if a.Pace() > 0 {
+		g.SetPace(float64(a.Pace()) / 1000)
 	}
 	if a.Ran() == answer.No && a.Reason() != exchanger.ReasonShed || a.Reason() == exchanger.ReasonLeft {
 		return
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -59,6 +59,9 @@
 	usualPace = 1000
 	// paceWeight is the weight of one call in the smoothed pace, so that some ten calls settle it.
 	paceWeight = 0.1
+	// anchor pulls the pace to the usual one. Usual times are measured against paces, so without it all paces could
+	// drift together.
+	anchor = 0.01
 	// mostPace bounds one call, as a few odd ones must not exclude an endpoint.
 	mostPace = 10 * usualPace
 )
@@ -70,7 +73,7 @@
 	}
 	ratio := min(mostPace, float64(spent)/float64(usual)*usualPace)
 	old := p.pace.Load()
-	p.pace.Store(old + int64(paceWeight*(ratio-float64(old))))
+	p.pace.Store(old + int64(paceWeight*(ratio-float64(old))+anchor*(usualPace-float64(old))))
 }
 
 // Runner runs calls on the local upstream.
