--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -13,7 +13,7 @@
 )
 
 func init() {
-	kernel.Register("enroller", 80, func() kernel.Part { return &Enroller{now: time.Now, known: map[string]life{}} })
+	kernel.Register("enroller", 80, func() kernel.Part { return New(slog.Default()) })
 }
 
 const (
@@ -86,6 +86,11 @@
 	known map[string]life
 }
 
+// New returns an enroller that tells the listeners; Start replaces both by those of the kernel.
+func New(log *slog.Logger, ls ...listener) *Enroller {
+	return &Enroller{now: time.Now, known: map[string]life{}, log: log, listeners: ls}
+}
+
 // Start finds the listeners.
 func (e *Enroller) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
 	s, err := kernel.Need[settler](k)
--- /dev/null
+++ b/mesh/exchanger/exchanger_test.go
@@ -0,0 +1,213 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+)
+
+// dialect is a plain one for the tests.
+type dialect struct{}
+
+func (dialect) Prepare(h http.Header, c call.Call, _ time.Duration) { h.Set("Id", c.Request()) }
+func (dialect) Echo(h http.Header) string                           { return h.Get("Id") }
+func (dialect) Signed(h http.Header) bool                           { return h.Get("Signed") != "" }
+func (dialect) NotRun(status int, h http.Header) (bool, bool) {
+	return h.Get("Not-Run") != "" || status == 421, status == 421
+}
+
+// script is what an upstream does on one connection after it has read a request; %s stands for the request's identifier.
+type script struct {
+	send  string
+	reset bool // ends the connection with a reset
+	stay  bool // leaves the connection open
+}
+
+// upstream plays one script for each connection and counts the connections and requests.
+type upstream struct {
+	listener net.Listener
+	requests chan string
+}
+
+func newUpstream(t *testing.T, scripts ...script) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{listener: l, requests: make(chan string, 16)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c, scripts[min(i, len(scripts)-1)])
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, s script) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		u.requests <- q.Header.Get("Id")
+		io.WriteString(c, strings.ReplaceAll(s.send, "%s", q.Header.Get("Id")))
+		if s.reset {
+			c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if !s.stay {
+			return
+		}
+	}
+}
+
+func request(id string) call.Call {
+	return call.New(call.Fields{Request: id, Method: "POST", Host: "h", Path: "/p", Body: []byte("body")})
+}
+
+const whole = "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
+
+// TestResponses guards against responses that are taken for what they are not: each case is one send on a fresh
+// connection, and a second call shows whether the connection was kept.
+func TestResponses(t *testing.T) {
+	cases := []struct {
+		name   string
+		script script
+	}{
+		{"whole", script{send: whole, stay: true}},
+		{"whole, then closed", script{send: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"}},
+		{"whole, with more behind it", script{send: whole + whole, stay: true}},
+		{"another request's first", script{send: "HTTP/1.1 200 OK\r\nId: other\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nno" + whole, stay: true}},
+		{"another request's only", script{send: "HTTP/1.1 200 OK\r\nId: other\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nno"}},
+		{"cut", script{send: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Length: 5\r\n\r\nok"}},
+		{"no bytes", script{}},
+		{"reset", script{reset: true}},
+		{"not a response", script{send: "hello\r\n\r\n"}},
+		{"unsigned", script{send: "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\nok", stay: true}},
+		{"unframed", script{send: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n\r\nok"}},
+		{"unframed, then reset", script{send: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\n\r\nok", reset: true}},
+		{"encoded", script{send: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"}},
+		{"own failure", script{send: "HTTP/1.1 500 No\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n", stay: true}},
+		{"not run", script{send: "HTTP/1.1 503 No\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", stay: true}},
+		{"another instance", script{send: "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", stay: true}},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		u := newUpstream(t, c.script)
+		x := &Exchanger{Address: u.listener.Addr().String(), Dialect: dialect{}}
+		a := x.Exchange(context.Background(), request("one"))
+		x.Exchange(context.Background(), request("two"))
+		fmt.Fprintf(&out, "%-28s status %d, ran %-5s reason %-8s body %-5q connections %d\n", c.name, a.Status(), a.Ran(), a.Reason(), a.Body(), x.Opened())
+		x.Reset()
+	}
+	goldie.New(t).Assert(t, "responses", []byte(out.String()))
+}
+
+// TestDown guards against a refused connection that is taken for a run.
+func TestDown(t *testing.T) {
+	u := newUpstream(t, script{})
+	u.listener.Close()
+	x := &Exchanger{Address: u.listener.Addr().String(), Dialect: dialect{}}
+	if a := x.Exchange(context.Background(), request("one")); a.Ran() != answer.No || a.Reason() != ReasonDown {
+		t.Errorf("ran %s, reason %s; want no and down", a.Ran(), a.Reason())
+	}
+}
+
+// TestClosedWhileIdle guards against a request on a connection that the upstream has closed, which could not be told
+// from one that ran.
+func TestClosedWhileIdle(t *testing.T) {
+	u := newUpstream(t, script{send: whole}, script{send: whole, stay: true})
+	x := &Exchanger{Address: u.listener.Addr().String(), Dialect: dialect{}}
+	x.Exchange(context.Background(), request("one"))
+	for deadline := time.Now().Add(5 * time.Second); ; {
+		k := x.idle.Load()
+		if k == nil || !silent(k.connection) {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("the close was not seen")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if a := x.Exchange(context.Background(), request("two")); a.Ran() != answer.Yes {
+		t.Errorf("ran %s, reason %s; want a whole answer", a.Ran(), a.Reason())
+	}
+}
+
+// TestCallerLeaves guards against work that goes on after its caller has hung up.
+func TestCallerLeaves(t *testing.T) {
+	u := newUpstream(t, script{stay: true})
+	x := &Exchanger{Address: u.listener.Addr().String(), Dialect: dialect{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-u.requests
+		cancel()
+	}()
+	a := x.Exchange(ctx, request("one"))
+	if a.Ran() != answer.Maybe || a.Reason() != ReasonLeft {
+		t.Errorf("ran %s, reason %s; want maybe and left", a.Ran(), a.Reason())
+	}
+	if x.idle.Load() != nil {
+		t.Error("the connection is kept while the upstream works on it")
+	}
+}
+
+// TestEarlyResponse guards against the rest of a body that is taken for a request, when an upstream answers before it
+// has read all of it.
+func TestEarlyResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	rest := make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := bufio.NewReader(c)
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		fmt.Fprintf(c, "HTTP/1.1 413 No\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n", q.Header.Get("Id"))
+		n, _ := io.Copy(io.Discard, r)
+		rest <- n
+	}()
+	x := &Exchanger{Address: l.Addr().String(), Dialect: dialect{}}
+	const size = 8 << 20 // above what the sockets hold
+	a := x.Exchange(context.Background(), call.New(call.Fields{Request: "one", Method: "POST", Host: "h", Path: "/p", Body: make([]byte, size)}))
+	if a.Status() != 413 || a.Ran() != answer.Yes {
+		t.Errorf("status %d, ran %s; want the upstream's 413", a.Status(), a.Ran())
+	}
+	if x.idle.Load() != nil {
+		t.Error("the connection is kept though its body was not sent whole")
+	}
+	if n := <-rest; n > size {
+		t.Errorf("%d bytes followed the head, the body has %d", n, size)
+	}
+}
--- /dev/null
+++ b/mesh/mover/mover_test.go
@@ -0,0 +1,234 @@
+package mover
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/composer"
+	"wisteriaspoke.example/mesh/elector"
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/gauge"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/message"
+	"wisteriaspoke.example/mesh/order"
+	"wisteriaspoke.example/mesh/target"
+	"wisteriaspoke.example/mesh/view"
+)
+
+// mesh is a few movers and a store, in virtual time.
+type mesh struct {
+	mutex sync.Mutex
+	begun time.Time
+	trace []string
+	nodes []*node
+	out   bool // the store does not answer
+	dead  map[string]bool
+	order order.Fields
+	last  map[string]string // what each node was last seen to do
+}
+
+func (m *mesh) note(format string, args ...any) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.trace = append(m.trace, fmt.Sprintf("%6.1f s: ", time.Since(m.begun).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// node is one mover with fakes around it.
+type node struct {
+	*Mover
+	mesh    *mesh
+	address string
+	end     chan error
+	cancel  context.CancelFunc
+}
+
+func (n *node) alive(address string) bool {
+	n.mesh.mutex.Lock()
+	defer n.mesh.mutex.Unlock()
+	return !n.mesh.dead[address]
+}
+
+func (n *node) Broadcast(m message.Message) {
+	for _, o := range n.mesh.nodes {
+		if o != n {
+			n.Send(o.address, m)
+		}
+	}
+}
+
+func (n *node) Send(peer string, m message.Message) {
+	for _, o := range n.mesh.nodes {
+		if o.address == peer && n.alive(peer) && n.alive(n.address) {
+			o.Handle(n.address, m)
+		}
+	}
+}
+
+func (n *node) Refresh() {}
+
+func (n *node) View() *view.View {
+	e := endpoint.New(endpoint.Fields{Address: "x", Service: "s", Version: "v2", State: endpoint.Ready})
+	t := target.New(e, gauge.New(time.Now()), "", "", "")
+	return view.New(nil, time.Time{}, map[string]view.Pool{"s": {Candidate: []*target.Target{t}}})
+}
+
+func (n *node) Nodes() []elector.Candidate {
+	var cs []elector.Candidate
+	for _, o := range n.mesh.nodes {
+		if o != n {
+			cs = append(cs, elector.Candidate{Address: o.address, Store: true, Alive: n.alive(o.address)})
+		}
+	}
+	return cs
+}
+
+func (n *node) Self() elector.Candidate {
+	return elector.Candidate{Address: n.address, Store: true, Alive: true}
+}
+
+// Conclude writes a state and gives all nodes the changed order, as a watch would.
+func (n *node) Conclude(_ context.Context, o order.Order, s order.State) error {
+	m := n.mesh
+	m.mutex.Lock()
+	switch {
+	case m.out:
+		m.mutex.Unlock()
+		return fault.New(fault.Unavailable, "no answer", "")
+	case m.order.Revision != o.Revision():
+		m.mutex.Unlock()
+		return fault.New(fault.Conflict, "another revision", "")
+	}
+	m.order.Revision++
+	m.order.State = s
+	changed := order.New(m.order)
+	m.mutex.Unlock()
+	m.note("%s writes %q", n.address, s)
+	for _, x := range m.nodes {
+		x.Ordered([]order.Order{changed})
+	}
+	return nil
+}
+
+func (m *mesh) start(addresses ...string) {
+	m.begun, m.dead, m.last = time.Now(), map[string]bool{}, map[string]string{}
+	for _, a := range addresses {
+		n := &node{mesh: m, address: a, end: make(chan error, 1)}
+		n.Mover = &Mover{
+			now: time.Now, log: slog.New(slog.DiscardHandler), sender: n, carrier: n, recorder: n, inputs: make(chan any, inputQueue),
+			results: make(chan result, 16), moves: map[string]*move{}, bad: map[string][]string{}, config: machine.Config{Node: a},
+		}
+		n.splits.Store(&map[string]composer.Split{})
+		n.counters.Store(&map[string]*watched{})
+		m.nodes = append(m.nodes, n)
+	}
+	for _, n := range m.nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		n.cancel = cancel
+		go func() { n.end <- n.run(ctx) }()
+		// Ticks of two nodes, or of a node and the traffic, at the same instant would have no fixed order.
+		time.Sleep(3 * time.Millisecond)
+	}
+}
+
+// calls plays traffic on all living nodes until the time; share says which part of the new version's calls fails.
+func (m *mesh) calls(until time.Duration, share float64) {
+	i := 0
+	for time.Since(m.begun) < until {
+		time.Sleep(20 * time.Millisecond)
+		for _, n := range m.nodes {
+			if !n.alive(n.address) {
+				continue
+			}
+			i++
+			s := n.Split("s")
+			what := fmt.Sprintf("gives v2 %d of 1000 calls", s.Permille)
+			if s.Candidate == "" {
+				what = fmt.Sprintf("follows no move, only %q, bad %v", s.Only, s.Bad)
+			}
+			if m.last[n.address] != what {
+				m.last[n.address] = what
+				m.note("%s %s", n.address, what)
+			}
+			fresh := s.Candidate != "" && (i*37)%1000 < s.Permille
+			version, instance := "v1", "old"
+			if fresh {
+				version, instance = "v2", fmt.Sprintf("new%d", i%2)
+			}
+			n.Observe("s", version, "read", instance, fresh && float64((i*61)%100) < 100*share, false)
+		}
+	}
+}
+
+// TestMoves guards against moves that miss their deadline, bad versions that keep calls, and a deciding node whose end
+// stops a move. Each case is traced as callers and operators see it.
+func TestMoves(t *testing.T) {
+	cases := []struct {
+		name string
+		play func(m *mesh)
+	}{
+		{"good", func(m *mesh) { m.calls(14*time.Second, 0) }},
+		{"bad-from-the-start", func(m *mesh) { m.calls(14*time.Second, 0.5) }},
+		{"bad-later", func(m *mesh) {
+			m.calls(7*time.Second, 0)
+			m.note("v2 turns bad")
+			m.calls(14*time.Second, 0.5)
+		}},
+		{"deciding-node-dies", func(m *mesh) {
+			m.calls(3*time.Second, 0)
+			m.kill(0)
+			m.calls(14*time.Second, 0)
+		}},
+		{"bad-while-the-store-is-out", func(m *mesh) {
+			m.calls(2*time.Second, 0)
+			m.set(true)
+			m.calls(8*time.Second, 0.5)
+			m.set(false)
+			m.calls(10*time.Second, 0.5)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := &mesh{order: order.Fields{Service: "s", Target: "v2", Period: 14 * time.Second, Created: 1, Revision: 1, State: order.Running}}
+				m.start("a", "b", "c")
+				for _, n := range m.nodes {
+					n.Ordered([]order.Order{order.New(m.order)})
+				}
+				c.play(m)
+				for _, n := range m.nodes {
+					n.cancel()
+					<-n.end
+				}
+				goldie.New(t).Assert(t, c.name, []byte(strings.Join(m.trace, "\n")+"\n"))
+			})
+		})
+	}
+}
+
+// kill ends a node.
+func (m *mesh) kill(i int) {
+	n := m.nodes[i]
+	m.mutex.Lock()
+	m.dead[n.address] = true
+	m.mutex.Unlock()
+	n.cancel()
+	<-n.end
+	n.end <- nil
+	m.note("%s dies", n.address)
+}
+
+func (m *mesh) set(out bool) {
+	m.note("store out: %v", out)
+	m.mutex.Lock()
+	m.out = out
+	m.mutex.Unlock()
+}
