--- /dev/null
+++ b/mesh/composer/composer_test.go
@@ -0,0 +1,60 @@
+package composer
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/gauge"
+	"wisteriaspoke.example/mesh/target"
+)
+
+// TestVersions guards against calls to versions that have no part in them.
+func TestVersions(t *testing.T) {
+	cases := []struct {
+		name     string
+		versions []string // of the endpoints; a trailing - means that the endpoint leaves
+		split    Split
+	}{
+		{"no move", []string{"v1", "v1"}, Split{}},
+		{"new endpoints before the order", []string{"v1", "v1", "v2"}, Split{}},
+		{"running", []string{"v1", "v1", "v2"}, Split{Candidate: "v2", Permille: 60}},
+		{"running, nothing given yet", []string{"v1", "v2"}, Split{Candidate: "v2"}},
+		{"running, old ones gone", []string{"v2"}, Split{Candidate: "v2", Permille: 60}},
+		{"running, old ones gone, nothing given yet", []string{"v2"}, Split{Candidate: "v2"}},
+		{"completed", []string{"v1", "v2"}, Split{Only: "v2"}},
+		{"taken back", []string{"v1", "v2", "v2"}, Split{Bad: []string{"v2"}}},
+		{"next move beside a bad version", []string{"v1", "v2", "v3"}, Split{Bad: []string{"v2"}, Candidate: "v3", Permille: 250}},
+		{"leaving", []string{"v1", "v1-"}, Split{}},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		var ts []*target.Target
+		for _, v := range c.versions {
+			f := endpoint.Fields{Service: "s", Version: strings.TrimSuffix(v, "-"), State: endpoint.Ready}
+			if f.Version != v {
+				f.State = endpoint.Leaving
+			}
+			ts = append(ts, target.New(endpoint.New(f), gauge.New(time.Time{}), "", "", ""))
+		}
+		p := Compose(Input{Targets: ts, Split: func(string) Split { return c.split }}).Pool("s")
+		drawn := map[string]bool{}
+		for i := range 1000 {
+			for _, x := range p.Draw(func(int) int { return i }) {
+				drawn[x.Endpoint().Version()] = true
+			}
+		}
+		var names []string
+		for v := range drawn {
+			names = append(names, v)
+		}
+		slices.Sort(names)
+		fmt.Fprintf(&out, "%-42s stable %d, candidate %d at %4d, calls go to %v\n", c.name, len(p.Stable), len(p.Candidate), p.Permille, names)
+	}
+	goldie.New(t).Assert(t, "versions", []byte(out.String()))
+}
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -252,10 +253,17 @@
 	}
 }
 
+// headers returns the headers that are passed on; those that the Connection header names are not.
 func headers(h http.Header) []call.Header {
+	named := map[string]bool{}
+	for _, value := range h.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
 	hs := make([]call.Header, 0, len(h))
 	for name, values := range h {
-		if call.OneHop(name) {
+		if call.OneHop(name) || named[name] {
 			continue
 		}
 		for _, v := range values {
--- /dev/null
+++ b/mesh/receiver/receiver_test.go
@@ -0,0 +1,197 @@
+package receiver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/plan"
+	"wisteriaspoke.example/mesh/rule"
+	"wisteriaspoke.example/mesh/view"
+)
+
+// fake stands for the parts around the receiver.
+type fake struct {
+	plan    *plan.Plan
+	forward func(ctx context.Context, c call.Fields) answer.Answer
+}
+
+func (f *fake) View() *view.View { return view.New(f.plan, time.Time{}, nil) }
+func (f *fake) Service() string  { return "own" }
+func (f *fake) Forward(ctx context.Context, _ *view.View, _ *rule.Rule, c call.Fields) answer.Answer {
+	return f.forward(ctx, c)
+}
+func (f *fake) Request(h http.Header) (string, time.Duration) { return h.Get("Id"), 0 }
+func (f *fake) Refusal(h http.Header, id string, wait time.Duration) {
+	h.Set("Id", id)
+	if wait > 0 {
+		h.Set("Wait", wait.String())
+	}
+}
+
+// start serves on a free port and returns its address.
+func start(t *testing.T, f *fake) (*Receiver, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, viewer: f, origin: f, dialect: f}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.handle), ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
+	served := make(chan error, 1)
+	go func() { served <- r.server.Serve(l) }()
+	t.Cleanup(func() {
+		r.server.Close()
+		<-served
+	})
+	return r, l.Addr().String()
+}
+
+func onePlan() *plan.Plan {
+	return plan.New(3, plan.Limits{BodyBytes: 10}, nil, []*rule.Rule{rule.New(rule.Fields{Name: "r", Host: "h", Prefix: "/a/", Timeout: 5 * time.Second})})
+}
+
+// TestRequests guards against requests that are changed on the way, answered without being understood, or refused as
+// unknown before a configuration is known. Each case is the bytes of one request.
+func TestRequests(t *testing.T) {
+	cases := []struct {
+		name   string
+		plan   *plan.Plan
+		bytes  string
+		answer answer.Fields
+	}{
+		{"answered", onePlan(), "GET /a/x?y=%20z HTTP/1.1\r\nHost: h\r\nId: 1\r\nConnection: X\r\nX: hop\r\nKept: yes\r\n\r\n", answer.Fields{Status: 201, Ran: answer.Yes, Headers: []call.Header{{Name: "Signed", Value: "s"}}, Body: []byte("ok")}},
+		{"body in chunks", onePlan(), "POST /a/x HTTP/1.1\r\nHost: h:80\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n", answer.Fields{Status: 200, Ran: answer.Yes}},
+		{"refused", onePlan(), "GET /a/x HTTP/1.1\r\nHost: h\r\nId: 3\r\n\r\n", answer.Fields{Status: 503, Ran: answer.No, Wait: 250}},
+		{"may have run", onePlan(), "GET /a/x HTTP/1.1\r\nHost: h\r\nId: 4\r\n\r\n", answer.Fields{Status: 502, Ran: answer.Maybe}},
+		{"no route", onePlan(), "GET /b HTTP/1.1\r\nHost: h\r\nId: 5\r\n\r\n", answer.Fields{}},
+		{"no configuration", nil, "GET /a/x HTTP/1.1\r\nHost: h\r\nId: 6\r\n\r\n", answer.Fields{}},
+		{"body too large", onePlan(), "POST /a/x HTTP/1.1\r\nHost: h\r\nId: 7\r\nContent-Length: 11\r\n\r\n12345678901", answer.Fields{}},
+		{"two lengths", onePlan(), "POST /a/x HTTP/1.1\r\nHost: h\r\nId: 8\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", answer.Fields{}},
+		{"length and chunks", onePlan(), "POST /a/x HTTP/1.1\r\nHost: h\r\nId: 9\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", answer.Fields{Status: 200, Ran: answer.Yes}},
+		{"bad chunk", onePlan(), "POST /a/x HTTP/1.1\r\nHost: h\r\nId: 10\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc", answer.Fields{}},
+		{"not a request", onePlan(), "hello\r\n\r\n", answer.Fields{}},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		forwarded := "nothing"
+		f := &fake{plan: c.plan, forward: func(_ context.Context, q call.Fields) answer.Answer {
+			var hs []string
+			for _, h := range q.Headers {
+				if h.Name != "Id" {
+					hs = append(hs, h.Name)
+				}
+			}
+			forwarded = fmt.Sprintf("%s %s %s body %q from %s with %v", q.Method, q.Host, q.Path, q.Body, q.Caller, hs)
+			return answer.New(c.answer)
+		}}
+		_, address := start(t, f)
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(5 * time.Second))
+		io.WriteString(conn, c.bytes)
+		r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		conn.Close()
+		fmt.Fprintf(&out, "%-18s forwarded %s\n%-18s %d, id %q, signed %q, wait %q, close %v, body %q\n", c.name, forwarded, "", r.StatusCode, r.Header.Get("Id"), r.Header.Get("Signed"), r.Header.Get("Wait"), r.Close, body)
+	}
+	goldie.New(t).Assert(t, "requests", []byte(out.String()))
+}
+
+// TestCallerLeaves guards against work that goes on after the caller has hung up.
+func TestCallerLeaves(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan error, 1)
+	f := &fake{plan: onePlan(), forward: func(ctx context.Context, _ call.Fields) answer.Answer {
+		close(began)
+		<-ctx.Done()
+		ended <- ctx.Err()
+		return answer.New(answer.Fields{Status: 504, Ran: answer.Maybe})
+	}}
+	_, address := start(t, f)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n")
+	<-began
+	conn.Close()
+	if err := <-ended; err != context.Canceled {
+		t.Errorf("the request ends with %v, want canceled: its time-out must not be waited for", err)
+	}
+}
+
+// TestDrain guards against a stop that cuts a request off or stays ready, and against one that never ends while callers
+// keep coming on open connections.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	var busy atomic.Int32
+	f := &fake{plan: onePlan(), forward: func(_ context.Context, c call.Fields) answer.Answer {
+		if c.Request == "slow" {
+			busy.Add(1)
+			<-release
+		}
+		return answer.New(answer.Fields{Status: 200, Ran: answer.Yes})
+	}}
+	r, address := start(t, f)
+	slow := make(chan string, 1)
+	go func() { slow <- get(address, "slow") }()
+	for busy.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := r.Ready(); err != nil {
+		t.Errorf("not ready before the stop: %v", err)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- r.Drain(context.Background()) }()
+	for !r.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	if r.Ready() == nil {
+		t.Error("still ready while stopping")
+	}
+	if got := get(address, "quick"); got != "200 close true" {
+		t.Errorf("a request of a caller that has not noticed the stop ends with %s", got)
+	}
+	close(release)
+	if got := <-slow; got != "200 close false" && got != "200 close true" {
+		t.Errorf("the request in progress ends with %s", got)
+	}
+	if err := <-drained; err != nil {
+		t.Errorf("the stop ends with %v", err)
+	}
+}
+
+func get(address, id string) string {
+	q, err := http.NewRequest(http.MethodGet, "http://"+address+"/a/x", nil)
+	if err != nil {
+		return err.Error()
+	}
+	q.Host = "h"
+	q.Header.Set("Id", id)
+	r, err := (&http.Transport{}).RoundTrip(q)
+	if err != nil {
+		return err.Error()
+	}
+	r.Body.Close()
+	return fmt.Sprintf("%d close %v", r.StatusCode, r.Close)
+}
