watcher, linker: notice deaf watches within two seconds; refuse calls that were held up

Ruled out: an election that failed (all four watched), and cancels that were not sent. Change: watches of the configuration wait 1.2 s; a call that was on its way 250 ms longer than the link's quickest one is refused as not run, and the time on the way counts against its deadline.

--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -44,6 +44,7 @@
 	Patience   int64       `cbor:"21,keyasint,omitempty"` // longest wait for a slot, in milliseconds
 	Start      int64       `cbor:"22,keyasint,omitempty"` // milliseconds until the latest start that meets the latency objective
 	Usual      int64       `cbor:"23,keyasint,omitempty"` // usual time of such calls in an upstream, in microseconds
+	Sent       int64       `cbor:"24,keyasint,omitempty"` // milliseconds from the link's start until the call was written, at the sender
 }
 
 // New returns a call with the fields, whose slices are not changed afterwards.
@@ -127,5 +128,8 @@
 // Usual returns the usual time of such calls in an upstream, in microseconds, or 0 if unknown.
 func (c Call) Usual() int64 { return c.f.Usual }
 
+// Sent returns the milliseconds from the link's start until the call was written, by the sender's clock.
+func (c Call) Sent() int64 { return c.f.Sent }
+
 // Fields returns a copy of the values, to build a changed call from.
 func (c Call) Fields() Fields { return c.f }
--- a/mesh/linker/call.go
+++ b/mesh/linker/call.go
@@ -117,12 +117,14 @@
 
 // encodeCall returns the frame of the call in a buffer that the caller owns.
 func (l *link) encodeCall(ctx context.Context, id uint64, c call.Call) (*bytes.Buffer, error) {
+	f := c.Fields()
 	if deadline, ok := ctx.Deadline(); ok {
-		f := c.Fields()
 		// Zero would mean no deadline.
 		f.Left = max(1, time.Until(deadline).Milliseconds())
-		c = call.New(f)
 	}
+	// Zero would mean that the sender does not say.
+	f.Sent = max(1, time.Since(l.begun).Milliseconds())
+	c = call.New(f)
 	buffer := newFrameBuffer(len(c.Body()))
 	if err := appendFrame(buffer, typeCall, l.generation, id, c); err != nil {
 		return nil, notRun(err, "cannot encode the call")
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -70,7 +70,10 @@
 	serving     sync.Map     // uint64 -> context.CancelFunc
 	handlers    *group
 
-	heard  atomic.Int64 // when something last arrived, Unix nanoseconds
+	begun  time.Time     // of this end of the link
+	least  time.Duration // shortest way of a call, plus the difference of the ends' begun; belongs to the reader
+	timed  bool          // least is known
+	heard  atomic.Int64  // when something last arrived, Unix nanoseconds
 	probed time.Time    // when the unanswered probe was sent; belongs to the writer
 
 	drain  chan struct{} // asks run to close in order
@@ -92,6 +95,7 @@
 		idle:     make(chan struct{}, 1),
 		finish:   make(chan struct{}),
 		ended:    make(chan struct{}),
+		begun:    time.Now(),
 	}
 	l.hear()
 	return l
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -66,6 +66,18 @@
 	if err := c.UnmarshalCBOR(f.Body); err != nil {
 		return fault.Wrap(fault.Invalid, err, "malformed call", "check that both nodes run compatible releases")
 	}
+	late := l.late(c)
+	if allowed := staleAfter + time.Duration(len(c.Body()))*time.Second/slowestWay; late > allowed {
+		callsStale.Inc(1)
+		l.owner.log.Warn("stale call refused", "id", c.Request(), "peer", l.peer.address, "late", late.Milliseconds(), "left", c.Left())
+		l.reply(ctx, f.ID, answer.New(answer.Fields{Status: 503, Ran: answer.No, Reason: "stale"}))
+		return nil
+	}
+	if left := c.Left(); left > 0 {
+		g := c.Fields()
+		g.Left = max(1, left-late.Milliseconds())
+		c = call.New(g)
+	}
 	if l.owner.running.Add(1) > int64(l.owner.LinkCalls) {
 		l.owner.running.Add(-1)
 		callsRefused.Inc(1)
@@ -87,6 +99,26 @@
 	return nil
 }
 
+const (
+	// staleAfter is how much longer than usual a call may have been on its way. Its caller may have left meanwhile, and
+	// the news of that is behind it on the same connection.
+	staleAfter = 250 * time.Millisecond
+	// slowestWay is the number of bytes a second that a large call takes on the slowest link, 10 Mbit/s.
+	slowestWay = 1_250_000
+)
+
+// late returns how much longer than the quickest call of the link this one was on its way, since the sender made it.
+func (l *link) late(c call.Call) time.Duration {
+	if c.Sent() == 0 {
+		return 0
+	}
+	way := time.Since(l.begun) - time.Duration(c.Sent())*time.Millisecond
+	if !l.timed || way < l.least {
+		l.least, l.timed = way, true
+	}
+	return way - l.least
+}
+
 // within returns a context that ends after left milliseconds, or with ctx if left is not positive.
 func within(ctx context.Context, left int64) (context.Context, context.CancelFunc) {
 	if left > 0 {
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -21,17 +21,21 @@
 }
 
 const (
-	// watchWait is how long the store holds a watch without news. A connection that has gone silent is noticed after
-	// it, so it bounds how long a watch can be deaf.
-	watchWait = 8 * time.Second
+	// watchWait is how long the store holds a watch without news. A watch can be deaf until it ends: its connection has
+	// gone silent, or the store has dropped its history meanwhile. A configuration must be in force within some 2.5 s.
+	watchWait = 1200 * time.Millisecond
+	// watchLong is that of orders and of the last spare watcher, whose news can wait.
+	watchLong = 4 * time.Second
 	// callTimeout bounds a call that the store answers at once.
 	callTimeout = 1500 * time.Millisecond
-	// watchMargin is added to watchWait for the way and a busy store.
-	watchMargin = 1500 * time.Millisecond
+	// watchMargin is added to a watch's wait for the way and a slow store.
+	watchMargin = 700 * time.Millisecond
 	// gather is the pause after news, so that changes in quick succession come with one call. gatherSpare is that of a
 	// spare watcher, whose news is late only if the first one is deaf.
 	gather      = 150 * time.Millisecond
 	gatherSpare = time.Second
+	// watchCall names watches in log lines.
+	watchCall = "watch"
 	// pollElection is the interval at which a node that does not watch checks whether it should.
 	pollElection = 250 * time.Millisecond
 	// settle is how long a starting node waits for others to tell it the configuration before it watches itself.
@@ -45,9 +49,12 @@
 	relistAlone = 2 * time.Second
 )
 
-// watchers is the number of nodes that watch a kind. The store may turn hosts away in silence, so spare ones hear of a
-// configuration when the first one does not; orders have seconds until they matter.
-var watchers = map[record.Kind]int{record.Configuration: 4, record.Orders: 2}
+// waits are how long watches wait, for each node that watches a kind in the order of election. The store may turn hosts
+// away in silence, so spare nodes hear of a configuration when the first one does not.
+var waits = map[record.Kind][]time.Duration{
+	record.Configuration: {watchWait, watchWait, watchLong},
+	record.Orders:        {watchLong, watchLong},
+}
 
 var (
 	calls    = metrics.GetOrRegisterCounter("store.calls", nil)
@@ -177,7 +184,7 @@
 	watching := false
 	for {
 		place := elector.Place(w.spreader.Self(), w.spreader.Nodes())
-		if place >= watchers[kind] {
+		if place >= len(waits[kind]) {
 			if watching {
 				w.log.Info("watch ends; other nodes watch", "kind", kind, "at", at)
 			}
@@ -191,7 +198,7 @@
 			watching = true
 			w.log.Info("watch begins", "kind", kind, "place", place)
 		}
-		news, err := w.step(ctx, kind, &at)
+		news, err := w.step(ctx, kind, waits[kind][place], &at)
 		var delay time.Duration
 		switch {
 		case err != nil:
@@ -210,7 +217,7 @@
 }
 
 // step lists or watches once and moves at on.
-func (w *Watcher) step(ctx context.Context, kind record.Kind, at *uint64) (news bool, err error) {
+func (w *Watcher) step(ctx context.Context, kind record.Kind, wait time.Duration, at *uint64) (news bool, err error) {
 	var rs []record.Record
 	var next uint64
 	if *at == 0 {
@@ -219,8 +226,8 @@
 			return err
 		})
 	} else {
-		err = w.watch(ctx, func(ctx context.Context) error {
-			rs, next, err = w.store.Watch(ctx, kind, *at, watchWait)
+		err = w.limited(ctx, watchCall, wait+watchMargin, func(ctx context.Context) error {
+			rs, next, err = w.store.Watch(ctx, kind, *at, wait)
 			return err
 		})
 	}
@@ -238,10 +245,6 @@
 	return len(rs) > 0, nil
 }
 
-func (w *Watcher) watch(ctx context.Context, f func(context.Context) error) error {
-	return w.limited(ctx, "watch", watchWait+watchMargin, f)
-}
-
 func (w *Watcher) call(ctx context.Context, what string, f func(context.Context) error) error {
 	return w.limited(ctx, what, callTimeout, f)
 }
@@ -261,7 +264,7 @@
 		w.log.Warn("store call failed", "call", what, "kind", fault.KindOf(err), "error", err)
 	}
 	took := time.Since(begun)
-	if err != nil || limit > callTimeout {
+	if err != nil || what == watchCall {
 		// The time of a watch says nothing about the way.
 		took = 0
 	}
