linker: keep held-up calls back for a moment instead of refusing them

Change: a call that was held up waits 10 ms, in which the reader comes to the news that its caller has left; a call whose context has ended gets no slot.

--- a/mesh/linker/stale_test.go
+++ b/mesh/linker/late_test.go
@@ -19,15 +19,15 @@
 	if late := l.late(sent(40 * time.Millisecond)); late != 0 {
 		t.Errorf("the first call is %v late", late)
 	}
-	if late := l.late(sent(45 * time.Millisecond)); late < 4*time.Millisecond || late > staleAfter {
+	if late := l.late(sent(45 * time.Millisecond)); late < 4*time.Millisecond || late > heldUp {
 		t.Errorf("a usual call is %v late", late)
 	}
-	if late := l.late(sent(640 * time.Millisecond)); late <= staleAfter {
+	if late := l.late(sent(640 * time.Millisecond)); late <= heldUp {
 		t.Errorf("a call that was held up for 600 ms is only %v late", late)
 	}
 	// A quicker call shows that the ones before were slow.
 	l.late(sent(time.Millisecond))
-	if late := l.late(sent(300 * time.Millisecond)); late <= staleAfter {
+	if late := l.late(sent(300 * time.Millisecond)); late <= heldUp {
 		t.Errorf("a call that took 300 ms is only %v late", late)
 	}
 	if late := l.late(call.New(call.Fields{})); late != 0 {
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -74,7 +74,7 @@
 	least  time.Duration // shortest way of a call, plus the difference of the ends' begun; belongs to the reader
 	timed  bool          // least is known
 	heard  atomic.Int64  // when something last arrived, Unix nanoseconds
-	probed time.Time    // when the unanswered probe was sent; belongs to the writer
+	probed time.Time     // when the unanswered probe was sent; belongs to the writer
 
 	drain  chan struct{} // asks run to close in order
 	acked  chan struct{} // the peer sends no more calls
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -49,7 +49,7 @@
 	cancelsDropped  = metrics.GetOrRegisterCounter("link.uncancelled", nil)
 	lateAnswers     = metrics.GetOrRegisterCounter("link.late", nil)
 	callsRefused    = metrics.GetOrRegisterCounter("link.refused", nil)
-	callsStale      = metrics.GetOrRegisterCounter("link.stale", nil)
+	callsLate       = metrics.GetOrRegisterCounter("link.heldup", nil)
 	linksBroken     = metrics.GetOrRegisterCounter("link.broken", nil)
 	// Bytes of control frames sent, before compression: all of them, and those to other regions.
 	controlBytes = metrics.GetOrRegisterCounter("link.control", nil)
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -67,12 +67,6 @@
 		return fault.Wrap(fault.Invalid, err, "malformed call", "check that both nodes run compatible releases")
 	}
 	late := l.late(c)
-	if allowed := staleAfter + time.Duration(len(c.Body()))*time.Second/slowestWay; late > allowed {
-		callsStale.Inc(1)
-		l.owner.log.Warn("stale call refused", "id", c.Request(), "peer", l.peer.address, "late", late.Milliseconds(), "left", c.Left())
-		l.reply(ctx, f.ID, answer.New(answer.Fields{Status: 503, Ran: answer.No, Reason: "stale"}))
-		return nil
-	}
 	if left := c.Left(); left > 0 {
 		g := c.Fields()
 		g.Left = max(1, left-late.Milliseconds())
@@ -94,19 +88,33 @@
 		defer l.owner.running.Add(-1)
 		defer cancel()
 		defer l.serving.Delete(f.ID)
+		if late > heldUp {
+			callsLate.Inc(1)
+			await(handling, cancelWait)
+		}
 		l.reply(ctx, f.ID, l.owner.server.Serve(handling, c))
 	})
 	return nil
 }
 
 const (
-	// staleAfter is how much longer than usual a call may have been on its way. Its caller may have left meanwhile, and
+	// heldUp is how much longer than usual a call may be on its way. Beyond it, its caller may have left meanwhile, and
 	// the news of that is behind it on the same connection.
-	staleAfter = 250 * time.Millisecond
-	// slowestWay is the number of bytes a second that a large call takes on the slowest link, 10 Mbit/s.
-	slowestWay = 1_250_000
+	heldUp = 250 * time.Millisecond
+	// cancelWait is how long such a call is kept back, so that the reader comes to the news.
+	cancelWait = 10 * time.Millisecond
 )
 
+// await waits, or until ctx ends.
+func await(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // late returns how much longer than the quickest call of the link this one was on its way, since the sender made it.
 func (l *link) late(c call.Call) time.Duration {
 	if c.Sent() == 0 {
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -127,7 +127,7 @@
 // Serve runs one call and returns its end; ctx ends with the call's deadline, its caller or its link.
 func (r *Runner) Serve(ctx context.Context, c call.Call) answer.Answer {
 	p := r.place.Load()
-	if reason := r.check(c, p); reason != "" {
+	if reason := r.check(ctx, c, p); reason != "" {
 		return r.refuse(c, p, reason, 0)
 	}
 	begin := time.Now()
@@ -144,8 +144,8 @@
 	}
 	wait := time.Since(begin)
 	waited.Update(wait.Milliseconds())
-	// The upstream may have left while the call waited.
-	if reason := r.check(c, p); reason != "" {
+	// The upstream or the caller may have left while the call waited.
+	if reason := r.check(ctx, c, p); reason != "" {
 		p.slotter.Exit(0)
 		return r.refuse(c, p, reason, 0)
 	}
@@ -193,13 +193,15 @@
 }
 
 // check returns why the call may not run here now, or the empty string.
-func (r *Runner) check(c call.Call, p *place) string {
+func (r *Runner) check(ctx context.Context, c call.Call, p *place) string {
 	l := r.local.Current()
 	if l == nil || p == nil {
 		return reasonAbsent
 	}
 	a := l.Announcement()
 	switch {
+	case ctx.Err() != nil:
+		return exchanger.ReasonLeft
 	case a.Instance != p.instance || c.Instance() != "" && c.Instance() != a.Instance,
 		c.Service() != a.Service, c.Version() != "" && c.Version() != a.Version:
 		return reasonMisrouted
