--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -125,11 +125,6 @@
 		wait = time.Duration(float64(service) * over / slots)
 	}
 	score = service + wait + time.Duration(float64(service)*crowding*full*full)
-	// What the last calls waited outside the upstream shows crowded links, which no count of calls does; the part of it
-	// that was the wait for a slot is in wait already.
-	if way := g.Way(q.Bulky, q.Now); way > wait {
-		score += way - wait
-	}
 	score += time.Duration(float64(failureCost) * g.Failures(q.Now))
 	if g.Held(q.Now) {
 		score += heldCost
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -253,12 +253,8 @@
 	usual := time.Duration(float64(j.expected) * g.Pace())
 	c.Start = time.Until(j.due.Add(-time.Duration(startQuantile * float64(usual)))).Milliseconds()
 	mark := g.Begin(time.Now())
-	begun := time.Now()
 	a := f.carry(ctx, t, call.New(c))
 	g.End(mark)
-	if spent := time.Since(begun); a.Ran() != answer.No && a.Reason() != exchanger.ReasonLeft {
-		g.MeasureWay(j.rule.Bulky(), spent-time.Duration(a.Took())*time.Microsecond, time.Now())
-	}
 	f.learn(j, t, a, c.Start > 0)
 	if arrived(a) {
 		j.arrivals++
--- a/mesh/gauge/gauge.go
+++ b/mesh/gauge/gauge.go
@@ -9,10 +9,6 @@
 const (
 	// reportAge is how long an endpoint's reported load counts; the other callers' calls have mostly ended by then.
 	reportAge = time.Second
-	// wayWeight is the weight of one call in the smoothed time on the way, and wayAge halves that time while no call is
-	// measured, so that an avoided way is tried again.
-	wayWeight = 0.25
-	wayAge    = time.Second
 	// failureWeight is the weight of one answer in the smoothed share of failures.
 	failureWeight = 0.12
 	// failureAge halves the smoothed share of failures, so that an avoided endpoint is tried again.
@@ -26,12 +22,6 @@
 	ejection = 1500 * time.Millisecond
 )
 
-// way is the smoothed time that calls spend outside the upstream.
-type way struct {
-	time atomic.Int64 // nanoseconds
-	at   atomic.Int64 // of the last measurement
-}
-
 // Gauge measures one endpoint.
 type Gauge struct {
 	outstanding atomic.Int32
@@ -44,7 +34,6 @@
 	ejected    atomic.Int64 // until
 	row        atomic.Int32 // failures in a row
 
-	ways     [2]way        // of small and of bulky calls
 	pace     atomic.Uint64 // float64 bits; 0 stands for 1
 	failures atomic.Uint64 // float64 bits
 	failedAt atomic.Int64
@@ -113,31 +102,6 @@
 	g.pace.Store(math.Float64bits(min(slowest, max(fastest, pace))))
 }
 
-func index(bulky bool) int {
-	if bulky {
-		return 1
-	}
-	return 0
-}
-
-// MeasureWay takes the time that one call spent on the way and in queues.
-func (g *Gauge) MeasureWay(bulky bool, took time.Duration, now time.Time) {
-	w := &g.ways[index(bulky)]
-	old := int64(g.Way(bulky, now))
-	w.time.Store(old + int64(wayWeight*float64(int64(max(0, took))-old)))
-	w.at.Store(g.since(now))
-}
-
-// Way returns the time that calls spend on the way and in queues, which fades while there are no answers.
-func (g *Gauge) Way(bulky bool, now time.Time) time.Duration {
-	w := &g.ways[index(bulky)]
-	t := w.time.Load()
-	if t == 0 {
-		return 0
-	}
-	return time.Duration(float64(t) * math.Exp2(-float64(g.since(now)-w.at.Load())/float64(wayAge)))
-}
-
 // Pace returns the endpoint's usual time for a call as a multiple of the expected one.
 func (g *Gauge) Pace() float64 {
 	if b := g.pace.Load(); b != 0 {
