--- a/mesh/slotter/queue.go
+++ b/mesh/slotter/queue.go
@@ -8,20 +8,15 @@
 // ticket is one waiting call.
 type ticket struct {
 	rank    int
-	late    bool // misses its latency objective wherever it stands
 	start   time.Time
 	granted chan Refusal // receives the result once
 }
 
-// before reports whether a is served first: the more urgent, then one that can still meet its objective, then the one
-// that must start earlier.
+// before reports whether a is served first: the more urgent, then the one that must start earlier.
 func before(a, b *ticket) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
 	}
-	if a.late != b.late {
-		return b.late
-	}
 	return a.start.Before(b.start)
 }
 
--- a/mesh/slotter/slotter.go
+++ b/mesh/slotter/slotter.go
@@ -22,9 +22,6 @@
 	meanWeight = 0.1
 	// firstMean is the service time before the first call has ended.
 	firstMean = 100 * time.Millisecond
-	// lateWait is the longest wait of a call that misses its latency objective anyway: enough for a slot that is about to
-	// be given back, not for a place in a crowd.
-	lateWait = 50 * time.Millisecond
 	// worthwhile is the part of the usual service time that must be left before the deadline.
 	worthwhile = 0.5
 )
@@ -112,7 +109,7 @@
 }
 
 func (s *Slotter) wait(ctx context.Context, r Request, now time.Time) (Refusal, time.Duration) {
-	t := &ticket{rank: r.Rank, late: r.Start.Before(now), start: r.Start, granted: make(chan Refusal, 1)}
+	t := &ticket{rank: r.Rank, start: r.Start, granted: make(chan Refusal, 1)}
 	s.mutex.Lock()
 	expected := s.queue.expected(t, s.Mean(), s.Slots())
 	if refusal := decide(r, now, expected, s.Mean()); refusal != "" || s.closed.Load() {
@@ -147,16 +144,13 @@
 	return s.granted(<-t.granted)
 }
 
-// latest returns when the call stops waiting. A call that can no longer meet its latency objective waits behind those
-// that can, and only for a moment: in a crowd, first come first served would let all of them miss it.
+// latest returns when the call stops waiting. A call that can no longer meet its latency objective makes way for those
+// that can: in a crowd, first come first served would let all of them miss it.
 func (r Request) latest(now time.Time) time.Time {
-	at := now.Add(lateWait)
-	if r.Start.After(at) {
+	at := r.Deadline
+	if r.Start.Before(at) {
 		at = r.Start
 	}
-	if r.Deadline.Before(at) {
-		at = r.Deadline
-	}
 	if r.Patience > 0 && now.Add(r.Patience).Before(at) {
 		at = now.Add(r.Patience)
 	}
--- a/mesh/slotter/slotter_test.go
+++ b/mesh/slotter/slotter_test.go
@@ -62,17 +62,10 @@
 		}
 		return a
 	}
-	late := func(a *arrival) { a.start = -50 * ms }
 	cases := []struct {
 		name string
 		load []arrival
 	}{
-		{"late-waits-for-a-free-slot", []arrival{ // the usual time has become 20 ms, so a slot is about to be given back
-			call("a", 0, func(a *arrival) { a.work = ms }), call("b", 10, func(a *arrival) { a.work = ms }), call("c", 20, func(a *arrival) { a.work = ms }),
-			call("d", 30, func(a *arrival) { a.work = ms }), call("e", 40, func(a *arrival) { a.work = ms }), call("f", 50, func(a *arrival) { a.work = ms }),
-			call("g", 60, func(a *arrival) { a.work = ms }), call("h", 70, func(a *arrival) { a.work = ms }), call("i", 80, func(a *arrival) { a.work = ms }),
-			call("j", 90, func(a *arrival) { a.work = 30 * ms }), call("late", 95, late), call("fresh", 96, nil),
-		}},
 		{"crowd-beyond-capacity", []arrival{ // one slot of 100 ms; the fifth call could start only after its objective
 			call("a", 0, nil), call("b", 1, nil), call("c", 2, nil), call("d", 3, nil), call("e", 4, nil), call("f", 150, nil),
 		}},
