--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PROGRAMS := node ctl objects platform stub load bench
 export GOTOOLCHAIN := local
 
-.PHONY: demo test bench build format lint fuzz results capacity
+.PHONY: demo test bench build format lint fuzz hunt results capacity
 
 build:
 	@mkdir -p bin
@@ -35,3 +35,6 @@
 
 fuzz:
 	@scripts/fuzz
+
+hunt:
+	@scripts/hunt
