--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -20,6 +20,9 @@
 	// rememberedLives bounds the starts of upstreams that are remembered, so that late announcements of old ones are
 	// recognised.
 	rememberedLives = 64
+	// stay is how long the upstream of a stopping node still takes calls. The node lives for a while after the signal, and
+	// calls that begin until then end before it does; a shorter time wastes slots in a rolling restart.
+	stay = 1400 * time.Millisecond
 	// quiet is how long an upstream that refused a connection gets no calls, unless it announces itself.
 	quiet = 400 * time.Millisecond
 )
@@ -81,6 +84,7 @@
 	service   string
 	current   atomic.Pointer[Local]
 	stopping  atomic.Bool
+	drain     chan struct{} // closed when the node begins to stop
 
 	mutex sync.Mutex // guards known and the order of changes
 	known map[string]life
@@ -88,11 +92,11 @@
 
 // New returns an enroller that tells the listeners; Start replaces both by those of the kernel.
 func New(log *slog.Logger, ls ...listener) *Enroller {
-	return &Enroller{now: time.Now, known: map[string]life{}, log: log, listeners: ls}
+	return &Enroller{now: time.Now, known: map[string]life{}, log: log, listeners: ls, drain: make(chan struct{})}
 }
 
 // Start finds the listeners.
-func (e *Enroller) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
+func (e *Enroller) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
 	s, err := kernel.Need[settler](k)
 	if err != nil {
 		return nil, err
@@ -100,7 +104,28 @@
 	e.log = k.Log
 	e.service = s.Config().Service
 	e.listeners = kernel.All[listener](k)
-	return nil, nil
+	end := make(chan error, 1)
+	go func() { end <- e.run(ctx) }()
+	return end, nil
+}
+
+// run takes the upstream out of service some time after the node has begun to stop, as it can be reached only through
+// this node.
+func (e *Enroller) run(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-e.drain:
+	}
+	t := time.NewTimer(stay)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+		e.leave()
+		<-ctx.Done()
+	}
+	return ctx.Err()
 }
 
 // Current returns the current upstream, or nil if none has announced itself.
@@ -194,13 +219,17 @@
 	}
 }
 
-// Drain takes the local upstream out of service, as it can be reached only through this node.
+// Drain begins to take the local upstream out of service and does not wait for it.
 func (e *Enroller) Drain(context.Context) error {
+	close(e.drain)
+	return nil
+}
+
+func (e *Enroller) leave() {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.stopping.Store(true)
 	if c := e.current.Load(); c != nil {
 		e.set(&Local{announcement: c.announcement, state: endpoint.Leaving, warm: c.warm})
 	}
-	return nil
 }
--- a/mesh/enroller/enroller_test.go
+++ b/mesh/enroller/enroller_test.go
@@ -8,11 +8,39 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/endpoint"
 )
 
+// TestStop guards against a node that takes its upstream out of service as soon as it is told to stop, which wastes its
+// slots in a rolling restart, and against one that never does.
+func TestStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(slog.New(slog.DiscardHandler))
+		ctx, cancel := context.WithCancel(context.Background())
+		end := make(chan error, 1)
+		go func() { end <- e.run(ctx) }()
+		e.Announce(Announcement{Instance: "a", Service: "s", Slots: 1, Born: 1})
+		if err := e.Drain(ctx); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(stay - time.Millisecond)
+		if s := e.Current().State(); s != endpoint.Ready {
+			t.Errorf("the upstream is %s right after the stop began", s)
+		}
+		time.Sleep(2 * time.Millisecond)
+		if s := e.Current().State(); s != endpoint.Leaving {
+			t.Errorf("the upstream is %s after its time", s)
+		}
+		cancel()
+		<-end
+	})
+}
+
 // TestAnnouncements guards against late or foreign announcements that bring an upstream back, replace a newer one or
 // undo its leaving. Each case of testdata/announcements.json is a sequence of what arrives.
 func TestAnnouncements(t *testing.T) {
@@ -54,9 +82,7 @@
 			case "recover":
 				e.Recover(s.Instance)
 			case "stop":
-				if err := e.Drain(context.Background()); err != nil {
-					t.Fatal(err)
-				}
+				e.leave()
 			}
 			state := "nobody"
 			if l := e.Current(); l != nil {
