--- /dev/null
+++ b/mesh/runner/runner_test.go
@@ -0,0 +1,113 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/enroller"
+)
+
+// dialect is a plain one for the tests.
+type dialect struct{}
+
+func (dialect) Prepare(h http.Header, c call.Call, _ time.Duration) { h.Set("Id", c.Request()) }
+func (dialect) Echo(h http.Header) string                           { return h.Get("Id") }
+func (dialect) Signed(http.Header) bool                             { return true }
+func (dialect) NotRun(status int, _ http.Header) (bool, bool)       { return status == 421, status == 421 }
+
+// TestLastWord guards against calls that reach an upstream which must not get them. Every refusal must be "not run" and
+// the upstream must not have seen the call.
+func TestLastWord(t *testing.T) {
+	seen := 0
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen++
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if r.URL.Path == "/moved" {
+			w.WriteHeader(421)
+			return
+		}
+		io.WriteString(w, "ok")
+	}))
+	defer upstream.Close()
+	address := strings.TrimPrefix(upstream.URL, "http://")
+	announced := func(change func(*enroller.Announcement)) enroller.Announcement {
+		a := enroller.Announcement{Instance: "i1", Address: address, Service: "s", Version: "v1", Slots: 1, Born: 1, Sequence: 1}
+		if change != nil {
+			change(&a)
+		}
+		return a
+	}
+	good := call.Fields{Request: "r", Method: "GET", Host: "h", Path: "/", Service: "s", Version: "v1", Instance: "i1", Idempotent: true}
+	cases := []struct {
+		name   string
+		before func(r *Runner, e *enroller.Enroller)
+		call   func(*call.Fields)
+		gone   bool // the caller has hung up
+	}{
+		{name: "right", before: func(_ *Runner, e *enroller.Enroller) { e.Announce(announced(nil)) }},
+		{name: "any instance", before: func(_ *Runner, e *enroller.Enroller) { e.Announce(announced(nil)) }, call: func(c *call.Fields) { c.Instance = "" }},
+		{name: "nobody announced", before: func(*Runner, *enroller.Enroller) {}},
+		{name: "another instance", before: func(_ *Runner, e *enroller.Enroller) { e.Announce(announced(nil)) }, call: func(c *call.Fields) { c.Instance = "i0" }},
+		{name: "another service", before: func(_ *Runner, e *enroller.Enroller) { e.Announce(announced(nil)) }, call: func(c *call.Fields) { c.Service = "other" }},
+		{name: "another version", before: func(_ *Runner, e *enroller.Enroller) { e.Announce(announced(nil)) }, call: func(c *call.Fields) { c.Version = "v2" }},
+		{name: "leaving", before: func(_ *Runner, e *enroller.Enroller) {
+			e.Announce(announced(func(a *enroller.Announcement) { a.Leaving = true }))
+		}},
+		{name: "withdrawn", before: func(_ *Runner, e *enroller.Enroller) {
+			e.Announce(announced(nil))
+			e.Withdraw("i1", 1)
+		}},
+		{name: "left and back under the same name", before: func(_ *Runner, e *enroller.Enroller) {
+			e.Announce(announced(nil))
+			e.Withdraw("i1", 1)
+			e.Announce(announced(func(a *enroller.Announcement) { a.Born = 2 }))
+		}},
+		{name: "suspected", before: func(_ *Runner, e *enroller.Enroller) {
+			e.Announce(announced(nil))
+			e.Suspect("i1", "down")
+		}},
+		{name: "address moved on", before: func(_ *Runner, e *enroller.Enroller) { e.Announce(announced(nil)) }, call: func(c *call.Fields) { c.Path = "/moved" }},
+		{name: "nothing listens", before: func(_ *Runner, e *enroller.Enroller) {
+			e.Announce(announced(func(a *enroller.Announcement) { a.Address = "127.0.0.1:1" }))
+		}},
+		{name: "caller has left", before: func(_ *Runner, e *enroller.Enroller) { e.Announce(announced(nil)) }, gone: true},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		seen = 0
+		r := &Runner{log: slog.New(slog.DiscardHandler), dialect: dialect{}}
+		e := enroller.New(slog.New(slog.DiscardHandler), r)
+		r.local = e
+		c.before(r, e)
+		f := good
+		if c.call != nil {
+			c.call(&f)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		if c.gone {
+			cancel()
+		}
+		a := r.Serve(ctx, call.New(f))
+		cancel()
+		state := "nobody"
+		if l := e.Current(); l != nil {
+			state = string(l.State())
+		}
+		fmt.Fprintf(&out, "%-34s status %d, ran %-3s reason %-10s upstream saw %d, then %s\n", c.name, a.Status(), a.Ran(), a.Reason(), seen, state)
+		if a.Ran() == answer.No && seen > 0 && a.Reason() != "moved" {
+			t.Errorf("%s: the upstream saw a call that is said not to have run", c.name)
+		}
+	}
+	goldie.New(t).Assert(t, "lastword", []byte(out.String()))
+}
