linker: do not dial in a loop after the node has stopped; kernel: name parts that do not end

Cause: when links had not closed in time, the sender of a peer dialed again without a pause, as a stopped node refuses a dial at once. On one core this kept the process from ending until it was killed at the end of the grace time. Ruled out: a part that blocks (all goroutines were starved, also timers), dials and closes that take long (600 ms instead of 1 s changed nothing).

--- a/mesh/kernel/kernel.go
+++ b/mesh/kernel/kernel.go
@@ -5,12 +5,17 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"reflect"
+	"slices"
 	"time"
 
 	"wisteriaspoke.example/mesh/fault"
 )
 
+// endLimit is the time after which parts that have not ended are named in a log line.
+const endLimit = 300 * time.Millisecond
+
 // Part is one plug-in; its exported fields are its settings, filled from flags and environment before Start.
 type Part interface {
 	// Start begins the part's work. The returned channel reports the part's end exactly once, after ctx is
@@ -101,6 +106,7 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ends := make(chan ending, len(k.parts))
+	waiting := map[string]bool{}
 	started := 0
 	running := 0
 	var failure error
@@ -115,6 +121,7 @@
 			continue
 		}
 		running++
+		waiting[n.name] = true
 		go func() { ends <- ending{name: n.name, err: <-end} }()
 	}
 	if failure == nil {
@@ -123,13 +130,24 @@
 		case <-ctx.Done():
 		case e := <-ends:
 			running--
+			delete(waiting, e.name)
 			failure = fmt.Errorf("part %s ended early: %w", e.name, orUnexplained(e.err))
 		}
 	}
 	k.drain(inner, started)
 	cancel()
-	for range running {
-		e := <-ends
+	late := time.NewTimer(endLimit)
+	defer late.Stop()
+	for running > 0 {
+		var e ending
+		select {
+		case e = <-ends:
+		case <-late.C:
+			k.Log.Warn("parts have not ended", "parts", slices.Sorted(maps.Keys(waiting)))
+			continue
+		}
+		running--
+		delete(waiting, e.name)
 		if e.err != nil && !errors.Is(e.err, context.Canceled) {
 			failure = errors.Join(failure, fmt.Errorf("stop %s: %w", e.name, e.err))
 		}
--- a/mesh/linker/drain.go
+++ b/mesh/linker/drain.go
@@ -15,6 +15,8 @@
 	}
 	l.refuse.Store(true)
 	l.listener.Close()
+	// Also when the links do not close in time, no new one may be opened.
+	defer l.closed.Store(true)
 	// Handlers that still run may make calls, so this node's own calls end second.
 	if err := l.drainLinks(ctx, func(k *link) bool { return k.purpose == calls && !k.dialed }); err != nil {
 		return err
--- a/mesh/linker/peer.go
+++ b/mesh/linker/peer.go
@@ -296,7 +296,7 @@
 			return false
 		}
 	}
-	if p.owner.closed.Load() {
+	if p.owner.closed.Load() || ctx.Err() != nil {
 		return false
 	}
 	// The dial may succeed or fail; the sender looks for a link in both cases.
