--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -11,7 +10,6 @@
 
 	"wisteriaspoke.example/mesh/composer"
 	"wisteriaspoke.example/mesh/elector"
-	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/enroller"
 	"wisteriaspoke.example/mesh/event"
 	"wisteriaspoke.example/mesh/fault"
@@ -294,23 +292,6 @@
 	}
 }
 
-// compressed returns records from the store as nodes pass them on.
-func (g *Gossiper) compressed(rs []record.Record) []record.Record {
-	out := make([]record.Record, 0, len(rs))
-	for _, r := range rs {
-		if r.Kind == record.Configuration {
-			spec, err := compress(r.Spec)
-			if err != nil {
-				g.log.Error("configuration cannot be compressed", "revision", r.Revision, "error", err)
-				continue
-			}
-			r.Spec = spec
-		}
-		out = append(out, r)
-	}
-	return out
-}
-
 func (g *Gossiper) event(e event.Event) {
 	switch e.Kind() {
 	case event.Linked:
@@ -390,255 +371,9 @@
 	}
 }
 
-// ahead reports whether the peer has records that this node lacks.
-func (g *Gossiper) ahead(p *peer) bool {
-	return p.linked && p.pulse != nil &&
-		(p.pulse.Configuration > g.archive.highest[record.Configuration] || p.pulse.Orders > g.archive.highest[record.Orders])
-}
-
-// catchUp asks the peer for missing records, unless another one was asked just now.
-func (g *Gossiper) catchUp(p *peer) {
-	now := g.now()
-	if now.Sub(g.pulled) < pullInterval {
-		return
-	}
-	g.pulled = now
-	q := &pull{Configuration: g.archive.highest[record.Configuration], Orders: g.archive.highest[record.Orders]}
-	g.log.Info("missing records asked for", "peer", p.address, "configuration", q.Configuration, "orders", q.Orders,
-		"theirs", p.pulse.Configuration)
-	g.sender.Send(p.address, message.New(kindPull, q))
-}
-
-// lag asks the nearest peer that is ahead. What is passed on arrives within a tick, so only a peer that has been ahead
-// for two of them is asked.
-func (g *Gossiper) lag() {
-	var best *peer
-	for _, p := range g.peers {
-		if !g.ahead(p) {
-			p.ahead = 0
-			continue
-		}
-		p.ahead++
-		if p.ahead < 2 {
-			continue
-		}
-		if best == nil || p.pulse.Region == g.config.Region && best.pulse.Region != g.config.Region {
-			best = p
-		}
-	}
-	if best != nil {
-		g.catchUp(best)
-	}
-}
-
-// supply sends the records that a peer lacks.
-func (g *Gossiper) supply(p *peer, q *pull) {
-	missing := g.archive.after(record.Configuration, q.Configuration)
-	missing = append(missing, g.archive.after(record.Orders, q.Orders)...)
-	if len(missing) > 0 {
-		g.sender.Send(p.address, message.New(kindRecords, &records{Records: missing}))
-	}
-}
-
 func (g *Gossiper) logPeer(p *peer) {
 	if e := p.pulse.Endpoint; e != nil {
 		g.log.Info("endpoint changed", "peer", p.address, "instance", e.Instance(), "service", e.Service(),
 			"version", e.Version(), "state", e.State(), "leaving", p.pulse.Leaving)
 	}
 }
-
-// keep takes records and returns those that are newer than the known ones.
-func (g *Gossiper) keep(rs []record.Record) []record.Record {
-	var fresh []record.Record
-	for _, r := range rs {
-		if !g.archive.take(r) {
-			continue
-		}
-		fresh = append(fresh, r)
-		g.apply(r)
-	}
-	g.revisions[0].Store(g.archive.highest[record.Configuration])
-	g.revisions[1].Store(g.archive.highest[record.Orders])
-	return fresh
-}
-
-// apply puts a record into force.
-func (g *Gossiper) apply(r record.Record) {
-	switch r.Kind {
-	case record.Configuration:
-		g.configure(r)
-	case record.Orders:
-		o, err := g.decoder.Order(r)
-		if err != nil {
-			g.log.Error("order ignored", "service", r.Name, "revision", r.Revision, "error", err)
-			return
-		}
-		if r.Deleted {
-			delete(g.orders, r.Name)
-		} else {
-			g.orders[r.Name] = o
-		}
-		g.log.Info("order known", "service", r.Name, "target", o.Target(), "state", o.State(), "revision", r.Revision, "deleted", r.Deleted)
-		g.dirty = true
-		all := make([]order.Order, 0, len(g.orders))
-		for _, o := range g.orders {
-			all = append(all, o)
-		}
-		for _, f := range g.followers {
-			f.Ordered(all)
-		}
-	}
-}
-
-func (g *Gossiper) configure(r record.Record) {
-	if r.Deleted {
-		g.log.Error("configuration was deleted in the store; the last one stays in force", "revision", r.Revision)
-		return
-	}
-	spec, err := decompress(r.Spec)
-	var p *plan.Plan
-	if err == nil {
-		p, err = g.decoder.Plan(spec)
-	}
-	if err != nil {
-		g.log.Error("configuration refused", "revision", r.Revision, "error", err)
-		return
-	}
-	if g.plan != nil && p.Version() <= g.plan.Version() {
-		g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "revision", r.Revision)
-		return
-	}
-	g.plan, g.since, g.dirty = p, g.now(), true
-	planVersion.Update(int64(p.Version()))
-	g.log.Info("configuration in force", "version", p.Version(), "revision", r.Revision, "rules", p.Rules())
-}
-
-// spread passes records on: to this node's region if they come from elsewhere, and from the store to one node of each
-// other region.
-func (g *Gossiper) spread(rs []record.Record, origin, from string) {
-	if len(rs) == 0 || from != "" && origin == g.config.Region {
-		return
-	}
-	m := message.New(kindRecords, &records{Records: rs})
-	other := map[string]string{}
-	for _, p := range g.peers {
-		switch {
-		case !p.linked || p.pulse == nil || p.address == from:
-		case p.pulse.Region == g.config.Region:
-			g.sender.Send(p.address, m)
-		case from == "" && (other[p.pulse.Region] == "" || p.address < other[p.pulse.Region]):
-			other[p.pulse.Region] = p.address
-		}
-	}
-	for _, address := range other {
-		g.sender.Send(address, m)
-	}
-}
-
-func (g *Gossiper) enrolled(l *enroller.Local) {
-	a := l.Announcement()
-	f := endpoint.Fields{
-		Address: g.config.Node, Service: a.Service, Version: a.Version, DataCentre: g.config.DataCentre, Region: g.config.Region,
-		Slots: a.Slots, State: l.State(), Incarnation: uint64(a.Born), Joined: time.UnixMilli(a.Born), Instance: a.Instance,
-	}
-	if l.State() == endpoint.Ready {
-		f.Warm = l.Warm()
-	}
-	e := endpoint.New(f)
-	g.own.take(&pulse{Incarnation: g.config.Incarnation, Number: g.nextNumber(), Region: g.config.Region, Endpoint: &e}, g.now())
-	g.dirty = true
-	g.pulse(true)
-}
-
-func (g *Gossiper) nextNumber() uint64 {
-	g.number++
-	return g.number
-}
-
-func (g *Gossiper) ownPulse() message.Message {
-	u := &pulse{
-		Incarnation: g.config.Incarnation, Number: g.nextNumber(), DataCentre: g.config.DataCentre, Region: g.config.Region,
-		Store: g.store.Load(), Far: time.Duration(g.far.Load()).Milliseconds(), Leaving: g.leaving.Load(),
-		Configuration: g.archive.highest[record.Configuration], Orders: g.archive.highest[record.Orders],
-	}
-	if g.own.pulse != nil {
-		u.Endpoint = g.own.pulse.Endpoint
-		u.Outstanding, u.Pace = g.loader.Load()
-	}
-	return message.New(kindPulse, u)
-}
-
-func (g *Gossiper) addresses() message.Message {
-	n := &nodes{}
-	for _, p := range g.peers {
-		if p.linked {
-			n.Addresses = append(n.Addresses, p.address)
-		}
-	}
-	return message.New(kindNodes, n)
-}
-
-// pulse sends the own pulse to all linked nodes, or to those that are due for one.
-func (g *Gossiper) pulse(all bool) {
-	now := g.now()
-	var m message.Message
-	for _, p := range g.peers {
-		if !p.linked || !all && now.Sub(p.pulsed) < g.interval(p) {
-			continue
-		}
-		if m.Body() == nil {
-			m = g.ownPulse()
-		}
-		p.pulsed = now
-		g.sender.Send(p.address, m)
-	}
-}
-
-// interval returns the longest time between two pulses with the peer.
-func (g *Gossiper) interval(p *peer) time.Duration {
-	if p.pulse != nil && p.pulse.Region != g.config.Region {
-		return farFactor * pulseInterval
-	}
-	return pulseInterval
-}
-
-func (g *Gossiper) tick() {
-	now := g.now()
-	g.pulse(false)
-	g.lag()
-	linked := 0
-	for address, p := range g.peers {
-		if p.linked {
-			linked++
-			continue
-		}
-		if now.Sub(p.changed) > forget {
-			delete(g.peers, address)
-			g.log.Info("peer forgotten", "peer", address)
-			continue
-		}
-		g.sender.Send(address, g.ownPulse())
-	}
-	peersLinked.Update(int64(linked))
-	g.publishNodes()
-	// Silence and relinking change what is reachable without an input.
-	g.dirty = true
-}
-
-func (g *Gossiper) publishNodes() {
-	now := g.now()
-	cs := make([]elector.Candidate, 0, len(g.peers))
-	for _, p := range g.peers {
-		if p.pulse != nil {
-			cs = append(cs, p.candidate(now, g.interval(p)))
-		}
-	}
-	slices.SortFunc(cs, func(a, b elector.Candidate) int {
-		if a.Address < b.Address {
-			return -1
-		}
-		return 1
-	})
-	g.nodes.Store(&cs)
-	g.size.Store(max(g.size.Load(), int64(len(cs))))
-}
