--- a/mesh/canary/canary.go
+++ b/mesh/canary/canary.go
@@ -29,8 +29,7 @@
 // Progress is what the next step depends on.
 type Progress struct {
 	Period   time.Duration // from the order to the deadline
-	Elapsed  time.Duration // since the order became known
-	Begun    time.Duration // Elapsed when the first calls were given
+	Begun    time.Duration // from the order until the first calls were given
 	Permille int           // present share
 	Since    time.Duration // time at the present share
 	Ready    int           // endpoints of the new version
@@ -56,12 +55,12 @@
 		}
 		return Step{permille: stages[0].permille}
 	}
-	time := p.Period - margin - p.Begun
+	left := p.Period - margin - p.Begun
 	for i, s := range stages {
 		if p.Permille > s.permille {
 			continue
 		}
-		if p.Since < length(time, i) || p.Ready == 0 {
+		if p.Since < length(left, i) || p.Ready == 0 {
 			return Step{permille: p.Permille}
 		}
 		if i == len(stages)-1 {
--- a/mesh/canary/canary_test.go
+++ b/mesh/canary/canary_test.go
@@ -21,7 +21,7 @@
 			var begun, changed time.Duration
 			permille := 0
 			for at := time.Duration(0); at < 2*c.period; at += 50 * time.Millisecond {
-				p := Progress{Period: c.period, Elapsed: at, Begun: begun, Permille: permille, Since: at - changed}
+				p := Progress{Period: c.period, Begun: begun, Permille: permille, Since: at - changed}
 				if at >= c.ready {
 					p.Ready = 3
 				}
@@ -95,7 +95,7 @@
 	}
 	var history []seen
 	for at := time.Duration(0); at < period; at += 50 * time.Millisecond {
-		s := Next(Progress{Period: period, Elapsed: at, Begun: begun, Permille: permille, Since: at - changed, Ready: 2})
+		s := Next(Progress{Period: period, Begun: begun, Permille: permille, Since: at - changed, Ready: 2})
 		if s.Permille() != permille {
 			if permille == 0 {
 				begun = at
--- a/mesh/forwarder/decide.go
+++ b/mesh/forwarder/decide.go
@@ -8,16 +8,19 @@
 	"wisteriaspoke.example/mesh/exchanger"
 )
 
-// Action is what happens after an answer.
+// action is what happens after an answer.
 type action string
 
 const (
-	deliver  action = "deliver" // the answer goes to the caller
-	reroute  action = "reroute" // another endpoint gets the request, as no upstream has seen it
-	repeat   action = "repeat"  // another endpoint gets the request, at the cost of a repeat
-	giveUp   action = "give up" // the request is refused or has failed
-	maxSends        = 4         // of one request to nodes, so that a crowd does not circulate
-	leastRun        = 0.5       // part of the usual time that must be left for another send
+	deliver action = "deliver" // the answer goes to the caller
+	reroute action = "reroute" // another endpoint gets the request, as no upstream has seen it
+	repeat  action = "repeat"  // another endpoint gets the request, at the cost of a repeat
+	giveUp  action = "give up" // the request is refused or has failed
+)
+
+const (
+	maxSends = 4   // of one request to nodes, so that a crowd does not circulate
+	leastRun = 0.5 // part of the usual time that must be left for another send
 )
 
 // situation is what the next action depends on.
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -70,8 +70,6 @@
 	Watch(ctx context.Context, kind record.Kind, after uint64, wait time.Duration) (rs []record.Record, at uint64, err error)
 	// Put creates or replaces an object, whatever its revision.
 	Put(ctx context.Context, kind record.Kind, name string, spec []byte) error
-	// Delete removes an object; one that does not exist is not an error.
-	Delete(ctx context.Context, kind record.Kind, name string) error
 }
 
 // spreader keeps what is learned and knows the other nodes.
@@ -100,7 +98,6 @@
 	store    store
 	spreader spreader
 	node     string
-	started  time.Time
 }
 
 // Start begins the calls to the store; a store that does not answer does not keep the node from starting.
@@ -116,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.log, w.node, w.started = k.Log, s.Config().Node, time.Now()
+	w.log, w.node = k.Log, s.Config().Node
 	end := make(chan error, 1)
 	go func() {
 		group, inner := errgroup.WithContext(ctx)
@@ -272,16 +269,6 @@
 	return err
 }
 
-// Leave removes this node's entry, when its host is taken away.
-func (w *Watcher) Leave(ctx context.Context) {
-	err := w.call(ctx, "delete entry", func(ctx context.Context) error {
-		return w.store.Delete(ctx, record.Hosts, w.node)
-	})
-	if err != nil {
-		w.log.Warn("entry stays in the store", "node", w.node, "error", err)
-	}
-}
-
 // backoff is the pause between failed calls.
 type backoff struct {
 	last time.Duration
--- a/mesh/watcher/watcher_test.go
+++ b/mesh/watcher/watcher_test.go
@@ -101,10 +101,6 @@
 	return s.enter(ctx, "put %s %s", kind, name)
 }
 
-func (s *fakeStore) Delete(ctx context.Context, kind record.Kind, name string) error {
-	return s.enter(ctx, "delete %s %s", kind, name)
-}
-
 // change adds a version of the configuration.
 func (s *fakeStore) change() {
 	s.mutex.Lock()
