--- a/mesh/accepter/accepter.go
+++ b/mesh/accepter/accepter.go
@@ -9,6 +9,7 @@
 
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/object"
+	"wisteriaspoke.example/mesh/pauser"
 )
 
 // Store is the platform's object API. Errors are faults of kind NotFound, Conflict, Throttled, Unavailable (the
@@ -51,18 +52,7 @@
 
 // New returns an accepter on the real clock with random tokens.
 func New(s Store) *Accepter {
-	return &Accepter{Store: s, Token: rand.Text, Pause: pause, Jitter: jitter, Grace: 5 * time.Second}
-}
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return &Accepter{Store: s, Token: rand.Text, Pause: pauser.Pause, Jitter: jitter, Grace: 5 * time.Second}
 }
 
 func jitter(d time.Duration) time.Duration { return d/2 + mathrand.N(d/2+1) }
@@ -137,7 +127,7 @@
 func (a *Accepter) lasting(ctx context.Context) (context.Context, context.CancelFunc) {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, func() {
-		if errors.Is(pause(inner, a.Grace), context.Canceled) {
+		if errors.Is(pauser.Pause(inner, a.Grace), context.Canceled) {
 			return
 		}
 		cancel()
--- a/mesh/admitter/do.go
+++ b/mesh/admitter/do.go
@@ -12,6 +12,7 @@
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/event"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/pauser"
 	"wisteriaspoke.example/mesh/retrier"
 	"wisteriaspoke.example/mesh/route"
 	"wisteriaspoke.example/mesh/service"
@@ -154,7 +155,7 @@
 		}
 		// Marked also if another call has just used the budget up.
 		retried = true
-		if !a.spend(own) || !pause(ctx, d.Wait()) {
+		if !a.spend(own) || pauser.Pause(ctx, d.Wait()) != nil {
 			break
 		}
 	}
@@ -185,21 +186,6 @@
 	return true
 }
 
-// pause waits and reports whether the call still has time.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt runs the call once at the endpoint and keeps what was seen.
 func (a *Admitter) attempt(ctx context.Context, m *snapshot.Member, c call.Call, hurried bool) answer.Answer {
 	m.Counters().Begin()
--- a/mesh/canary/canary.go
+++ b/mesh/canary/canary.go
@@ -4,10 +4,9 @@
 	"fmt"
 	"slices"
 	"time"
-)
 
-// Whole is the share of all calls, in thousandths.
-const Whole = 1000
+	"wisteriaspoke.example/mesh/share"
+)
 
 // stages are the shares of a move in thousandths, each with its part of the time that is left when the move begins. The
 // first one bounds the harm of a version that is bad from its start or soon after; the last one lets the calls at the
@@ -15,7 +14,7 @@
 var stages = []struct {
 	permille int
 	part     float64
-}{{60, 0.42}, {250, 0.14}, {500, 0.16}, {Whole, 0.18}}
+}{{60, 0.42}, {250, 0.14}, {500, 0.16}, {share.Whole, 0.18}}
 
 const (
 	// margin is kept before the deadline for the last write and one repeat of it.
--- a/mesh/canary/canary_test.go
+++ b/mesh/canary/canary_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sebdah/goldie/v2"
+
+	"wisteriaspoke.example/mesh/share"
 )
 
 // TestMove guards against moves that miss their deadline or give a version its share before it has proven itself.
@@ -102,7 +104,7 @@
 			}
 			permille, changed = s.Permille(), at
 		}
-		n := rate * 0.05 * float64(permille) / Whole
+		n := rate * 0.05 * float64(permille) / share.Whole
 		given += n
 		calls += n
 		if at >= 3500*time.Millisecond {
--- a/mesh/composer/composer.go
+++ b/mesh/composer/composer.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"wisteriaspoke.example/mesh/endpoint"
@@ -71,7 +70,7 @@
 	}
 	best := ""
 	for v, n := range counts {
-		if best == "" || n > counts[best] || n == counts[best] && strings.Compare(v, best) < 0 {
+		if best == "" || n > counts[best] || n == counts[best] && v < best {
 			best = v
 		}
 	}
--- a/mesh/encoder/encoder.go
+++ b/mesh/encoder/encoder.go
@@ -59,6 +59,10 @@
 	return kinds
 }
 
+// Marshal returns a part of a message as CBOR, with maps in the order of their keys, so that equal values have equal
+// encodings.
+func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
+
 // Encode returns the message as CBOR.
 func Encode(m message.Message) ([]byte, error) {
 	body, err := encMode.Marshal(m.Body())
--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -10,6 +10,7 @@
 	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/pauser"
 )
 
 func init() {
@@ -117,14 +118,11 @@
 		return ctx.Err()
 	case <-e.drain:
 	}
-	t := time.NewTimer(stay)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-		e.leave()
-		<-ctx.Done()
+	if err := pauser.Pause(ctx, stay); err != nil {
+		return err
 	}
+	e.leave()
+	<-ctx.Done()
 	return ctx.Err()
 }
 
--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -79,7 +79,7 @@
 		var err error
 		if n, err = x.dial(ctx); err != nil {
 			if ctx.Err() != nil {
-				return x.ended(ctx, answer.No)
+				return ended(ctx, answer.No)
 			}
 			return answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: ReasonDown})
 		}
@@ -90,7 +90,7 @@
 	if !stop() {
 		keep = false
 		if a.Ran() != answer.Yes {
-			a = x.ended(ctx, a.Ran())
+			a = ended(ctx, a.Ran())
 		}
 	}
 	if !keep || !x.keep(n) {
@@ -102,12 +102,16 @@
 }
 
 // ended returns the answer to a call whose context has ended.
-func (x *Exchanger) ended(ctx context.Context, ran answer.Ran) answer.Answer {
-	reason := ReasonLeft
+func ended(ctx context.Context, ran answer.Ran) answer.Answer {
+	return answer.New(answer.Fields{Status: http.StatusGatewayTimeout, Ran: ran, Reason: EndReason(ctx)})
+}
+
+// EndReason returns why a context has ended: by its deadline, or because the caller no longer waits.
+func EndReason(ctx context.Context) string {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		reason = ReasonTimeout
+		return ReasonTimeout
 	}
-	return answer.New(answer.Fields{Status: http.StatusGatewayTimeout, Ran: ran, Reason: reason})
+	return ReasonLeft
 }
 
 func left(ctx context.Context) time.Duration {
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -136,12 +136,10 @@
 	view     *view.View
 	fields   call.Fields
 	tried    []*target.Target
-	sends    int
 	arrivals int
 	expected time.Duration
 	begun    time.Time
 	due      time.Time // end of the latency objective, counted from the caller's first attempt
-	last     *target.Target
 }
 
 // Forward sends the request of the rule to an endpoint and returns the end of it. ctx ends with the deadline or when the
@@ -171,7 +169,7 @@
 		a := f.send(ctx, j, t, patience)
 		left := remaining(ctx)
 		s := situation{
-			answer: a, idempotent: r.Idempotent(), arrivals: j.arrivals, attempts: r.Attempts(), sends: j.sends,
+			answer: a, idempotent: r.Idempotent(), arrivals: j.arrivals, attempts: r.Attempts(), sends: len(j.tried),
 			left: left, expected: j.expected, allowed: true, others: len(targets) > len(j.tried),
 		}
 		act := next(s)
@@ -243,8 +241,7 @@
 // send does one attempt and keeps what it says of the endpoint.
 func (f *Forwarder) send(ctx context.Context, j *journey, t *target.Target, patience time.Duration) answer.Answer {
 	e, g := t.Endpoint(), t.Gauge()
-	j.tried, j.last = append(j.tried, t), t
-	j.sends++
+	j.tried = append(j.tried, t)
 	c := j.fields
 	c.Service, c.Version, c.Instance = e.Service(), e.Version(), e.Instance()
 	c.Route, c.Rank, c.Idempotent, c.Patience = j.rule.Name(), j.rule.Rank(), j.rule.Idempotent(), patience.Milliseconds()
@@ -275,10 +272,7 @@
 		w = answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonLink}
 	}
 	if ctx.Err() != nil {
-		w.Reason = exchanger.ReasonTimeout
-		if context.Cause(ctx) != context.DeadlineExceeded {
-			w.Reason = exchanger.ReasonLeft
-		}
+		w.Reason = exchanger.EndReason(ctx)
 	}
 	return answer.New(w)
 }
@@ -345,13 +339,14 @@
 func (j *journey) attributes(a answer.Answer) []any {
 	as := []any{
 		"id", j.fields.Request, "rule", j.rule.Name(), "rank", j.rule.Rank(), "service", j.service, "caller", j.fields.Caller, "status", a.Status(),
-		"ran", a.Ran(), "sends", j.sends, "arrivals", j.arrivals, "took", time.Since(j.begun).Milliseconds(),
+		"ran", a.Ran(), "sends", len(j.tried), "arrivals", j.arrivals, "took", time.Since(j.begun).Milliseconds(),
 		"expected", j.expected.Milliseconds(),
 	}
 	if p := j.view.Plan(); p != nil {
 		as = append(as, "version", p.Version(), "age", time.Since(j.view.Since()).Milliseconds())
 	}
-	if t := j.last; t != nil {
+	if n := len(j.tried); n > 0 {
+		t := j.tried[n-1]
 		e := t.Endpoint()
 		as = append(as, "peer", e.Address(), "instance", e.Instance(), "tier", t.Tier().String(), "release", e.Version(),
 			"outstanding", a.Outstanding(), "slots", a.Slots(), "upstream", a.Took()/1000)
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -106,7 +106,6 @@
 	inputs    chan any
 	view      atomic.Pointer[view.View]
 	nodes     atomic.Pointer[[]elector.Candidate]
-	revisions [2]atomic.Uint64 // of the configuration and of the orders, for other goroutines
 	store     atomic.Bool
 	far       atomic.Int64 // shortest time of an answer of the store, nanoseconds
 	leaving   atomic.Bool
@@ -176,14 +175,6 @@
 	return elector.Candidate{Address: g.config.Node, Store: g.store.Load() && !g.leaving.Load(), Far: time.Duration(g.far.Load()), Alive: true}
 }
 
-// Revision returns the highest revision of the kind that is known.
-func (g *Gossiper) Revision(kind record.Kind) uint64 {
-	if kind == record.Configuration {
-		return g.revisions[0].Load()
-	}
-	return g.revisions[1].Load()
-}
-
 // Learn takes records from the store.
 func (g *Gossiper) Learn(rs []record.Record) { g.put(learned(rs)) }
 
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -1,7 +1,6 @@
 package gossiper
 
 import (
-	"slices"
 	"time"
 
 	"wisteriaspoke.example/mesh/elector"
@@ -109,12 +108,6 @@
 			cs = append(cs, p.candidate(now, g.interval(p)))
 		}
 	}
-	slices.SortFunc(cs, func(a, b elector.Candidate) int {
-		if a.Address < b.Address {
-			return -1
-		}
-		return 1
-	})
 	g.nodes.Store(&cs)
 	g.size.Store(max(g.size.Load(), int64(len(cs))))
 }
--- a/mesh/gossiper/records.go
+++ b/mesh/gossiper/records.go
@@ -34,8 +34,6 @@
 		fresh = append(fresh, r)
 		g.apply(r)
 	}
-	g.revisions[0].Store(g.archive.highest[record.Configuration])
-	g.revisions[1].Store(g.archive.highest[record.Orders])
 	return fresh
 }
 
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -8,6 +8,7 @@
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/pauser"
 )
 
 // handle acts on one frame; an error closes the link.
@@ -90,7 +91,7 @@
 		defer l.serving.Delete(f.ID)
 		if late > heldUp {
 			callsLate.Inc(1)
-			await(handling, cancelWait)
+			pauser.Pause(handling, cancelWait)
 		}
 		l.reply(ctx, f.ID, l.owner.server.Serve(handling, c))
 	})
@@ -105,16 +106,6 @@
 	cancelWait = 10 * time.Millisecond
 )
 
-// await waits, or until ctx ends.
-func await(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // late returns how much longer than the quickest call of the link this one was on its way, since the sender made it.
 func (l *link) late(c call.Call) time.Duration {
 	if c.Sent() == 0 {
--- a/mesh/notice/sets.go
+++ b/mesh/notice/sets.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/group"
 )
 
@@ -21,7 +22,7 @@
 func (d Digest) Sums() map[string]uint64 { return d.w.Sums }
 
 // MarshalCBOR writes the digest's own format.
-func (d Digest) MarshalCBOR() ([]byte, error) { return sorted.Marshal(d.w) }
+func (d Digest) MarshalCBOR() ([]byte, error) { return encoder.Marshal(d.w) }
 
 // UnmarshalCBOR reads the digest's own format.
 func (d *Digest) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &d.w) }
--- /dev/null
+++ b/mesh/pauser/doc.go
@@ -0,0 +1,2 @@
+// Package pauser waits in a way that a context can end.
+package pauser
--- /dev/null
+++ b/mesh/pauser/pauser.go
@@ -0,0 +1,21 @@
+package pauser
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits, or returns the error of a context that ends first.
+func Pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -19,6 +19,7 @@
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/pauser"
 	"wisteriaspoke.example/mesh/rule"
 	"wisteriaspoke.example/mesh/view"
 )
@@ -154,12 +155,8 @@
 	}
 	r.draining.Store(true)
 	r.log.Info("drain begins", "active", r.active.Load())
-	t := time.NewTimer(linger)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	// Shutdown reports a context that has ended.
+	pauser.Pause(ctx, linger)
 	// Waiting until no request is in progress would never end while callers keep coming.
 	if err := r.server.Shutdown(ctx); err != nil {
 		return fault.Wrap(fault.Unavailable, err, strconv.FormatInt(r.active.Load(), 10)+" requests are cut off", "allow more time with --drain")
--- a/mesh/view/view.go
+++ b/mesh/view/view.go
@@ -4,12 +4,10 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/plan"
+	"wisteriaspoke.example/mesh/share"
 	"wisteriaspoke.example/mesh/target"
 )
 
-// Whole is the share of all calls, in thousandths.
-const Whole = 1000
-
 // Pool is the endpoints of one service, split by version while the service moves to a new one.
 type Pool struct {
 	Stable    []*target.Target
@@ -43,7 +41,7 @@
 // The stable version's calls go to the candidate only when the stable version has no endpoint left, and the
 // candidate may have calls at all.
 func (p Pool) Draw(random func(int) int) []*target.Target {
-	candidate := p.Permille > 0 && len(p.Candidate) > 0 && (len(p.Stable) == 0 || random(Whole) < p.Permille)
+	candidate := p.Permille > 0 && len(p.Candidate) > 0 && (len(p.Stable) == 0 || random(share.Whole) < p.Permille)
 	if candidate {
 		return p.Candidate
 	}
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -13,6 +13,7 @@
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/pauser"
 	"wisteriaspoke.example/mesh/record"
 )
 
@@ -136,7 +137,7 @@
 		if err == nil {
 			break
 		}
-		if err := pause(ctx, b.next()); err != nil {
+		if err := pauser.Pause(ctx, b.next()); err != nil {
 			return err
 		}
 	}
@@ -155,7 +156,7 @@
 		default:
 			b = backoff{}
 		}
-		if err := pause(ctx, delay); err != nil {
+		if err := pauser.Pause(ctx, delay); err != nil {
 			return err
 		}
 	}
@@ -173,7 +174,7 @@
 
 // follow watches one kind while this node is elected to.
 func (w *Watcher) follow(ctx context.Context, kind record.Kind) error {
-	if err := pause(ctx, settle); err != nil {
+	if err := pauser.Pause(ctx, settle); err != nil {
 		return err
 	}
 	var at uint64
@@ -186,7 +187,7 @@
 				w.log.Info("watch ends; other nodes watch", "kind", kind, "at", at)
 			}
 			watching, at = false, 0
-			if err := pause(ctx, pollElection); err != nil {
+			if err := pauser.Pause(ctx, pollElection); err != nil {
 				return err
 			}
 			continue
@@ -207,7 +208,7 @@
 		default:
 			b = backoff{}
 		}
-		if err := pause(ctx, delay); err != nil {
+		if err := pauser.Pause(ctx, delay); err != nil {
 			return err
 		}
 	}
@@ -278,18 +279,3 @@
 	b.last = min(retryMost, max(retryLeast, 2*b.last))
 	return b.last/2 + rand.N(b.last/2)
 }
-
-// pause waits, or returns the error of a context that ends first.
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
-	}
-}
