intaker, linker: receive large bodies two at a time, in the order of their deadlines

Ruled out: slots of the endpoints (8 in 10 calls found a free one); slow endpoints (their own times were as usual). Change: a body of 24 KB or more is offered before it is sent. The endpoint's node grants two at a time, the earliest latest start first, and refuses at once what cannot be in time; until the grant the call has provably not run. Bodies have a connection of their own between two nodes.

--- a/mesh/linker/call.go
+++ b/mesh/linker/call.go
@@ -27,6 +27,12 @@
 	state   atomic.Int32
 	done    chan answer.Answer // capacity 1; at most one value, as the reader removes the call before it sends
 	refused chan struct{}      // closed when the writer declines to write the call
+	granted chan struct{}      // capacity 1; the peer has room for the body of an offered call
+	offered bool               // the peer knows of the call before it is written
+}
+
+func newPending() *pending {
+	return &pending{done: make(chan answer.Answer, 1), refused: make(chan struct{}), granted: make(chan struct{}, 1)}
 }
 
 // take reports whether the writer may write the call; with refuse it never may.
@@ -53,9 +59,12 @@
 	if l.closed.Load() {
 		return answer.Answer{}, notRun(nil, "this node is stopping")
 	}
-	p := l.peer(peer)
+	p, why := l.peer(peer), calls
+	if len(c.Body()) >= offeredBody {
+		why = bodies
+	}
 	for range callAttempts {
-		k, err := p.pick(ctx)
+		k, err := p.pick(ctx, why)
 		if err != nil {
 			return answer.Answer{}, err
 		}
@@ -82,18 +91,28 @@
 	if l.closing.Load() {
 		return a, false, nil
 	}
-	id := l.ids.Add(1)
-	buffer, err := l.encodeCall(ctx, id, c)
-	if err != nil {
-		return a, false, err
+	if n := len(c.Body()); n > callLimit-bodySlack {
+		return a, false, notRun(nil, fmt.Sprintf("the call's body has %d bytes, the limit is %d", n, callLimit-bodySlack))
 	}
-	p := &pending{done: make(chan answer.Answer, 1), refused: make(chan struct{})}
+	id, p := l.ids.Add(1), newPending()
 	l.pending.Store(id, p)
 	defer l.pending.Delete(id)
+	if l.purpose == bodies {
+		return l.offer(ctx, id, p, c)
+	}
+	buffer, err := l.encodeCall(ctx, typeCall, id, c)
+	if err != nil {
+		return a, false, err
+	}
+	return l.submit(ctx, id, p, buffer)
+}
+
+// submit queues the frame after which the call may run, and waits for the answer.
+func (l *link) submit(ctx context.Context, id uint64, p *pending, frame *bytes.Buffer) (a answer.Answer, sent bool, err error) {
 	select {
-	case l.queue <- outgoing{data: buffer.Bytes(), buffer: buffer, call: p}:
+	case l.queue <- outgoing{data: frame.Bytes(), buffer: frame, call: p}:
 	case <-ctx.Done():
-		return a, false, notRun(ctx.Err(), "the call waited for the connection")
+		return l.abandon(ctx, id, p)
 	case <-l.ended:
 		return a, false, nil
 	}
@@ -101,6 +120,7 @@
 	case a = <-p.done:
 		return a, true, nil
 	case <-p.refused:
+		l.forgo(id, p)
 		return a, false, nil
 	case <-ctx.Done():
 		return l.abandon(ctx, id, p)
@@ -115,8 +135,8 @@
 	}
 }
 
-// encodeCall returns the frame of the call in a buffer that the caller owns.
-func (l *link) encodeCall(ctx context.Context, id uint64, c call.Call) (*bytes.Buffer, error) {
+// encodeCall returns the frame of a call or an offer in a buffer that the caller owns.
+func (l *link) encodeCall(ctx context.Context, t frameType, id uint64, c call.Call) (*bytes.Buffer, error) {
 	f := c.Fields()
 	if deadline, ok := ctx.Deadline(); ok {
 		// Zero would mean no deadline.
@@ -126,7 +146,7 @@
 	f.Sent = max(1, time.Since(l.begun).Milliseconds())
 	c = call.New(f)
 	buffer := newFrameBuffer(len(c.Body()))
-	if err := appendFrame(buffer, typeCall, l.generation, id, c); err != nil {
+	if err := appendFrame(buffer, t, l.generation, id, c); err != nil {
 		return nil, notRun(err, "cannot encode the call")
 	}
 	if n := buffer.Len(); n > callLimit {
@@ -138,6 +158,7 @@
 // abandon ends the wait for an answer after ctx ended.
 func (l *link) abandon(ctx context.Context, id uint64, p *pending) (answer.Answer, bool, error) {
 	if p.withdraw() {
+		l.forgo(id, p)
 		return answer.Answer{}, false, notRun(ctx.Err(), "the call waited for the connection")
 	}
 	select {
@@ -145,10 +166,22 @@
 		return a, true, nil
 	default:
 	}
+	l.cancel(id)
+	return answer.Answer{}, true, mayHaveRun(ctx.Err(), "no answer came in time")
+}
+
+// cancel tells the peer that nobody waits for the call.
+func (l *link) cancel(id uint64) {
 	if !l.sendUrgent(typeCancel, id) {
 		cancelsDropped.Inc(1)
 	}
-	return answer.Answer{}, true, mayHaveRun(ctx.Err(), "no answer came in time")
+}
+
+// forgo tells the peer that the body of a call that it was offered does not come.
+func (l *link) forgo(id uint64, p *pending) {
+	if p.offered {
+		l.cancel(id)
+	}
 }
 
 // broken ends the wait for an answer after the link ended, when the writer takes no more calls.
--- a/mesh/linker/call_test.go
+++ b/mesh/linker/call_test.go
@@ -41,7 +41,7 @@
 		done <- result{got, err}
 	}()
 	<-arrived
-	k := a.peer(b.Address()).best()
+	k, _ := a.peer(b.Address()).best(calls)
 	before := lateAnswers.Count()
 	wrong := must(answer.New(answer.Fields{Status: 200, Body: []byte("wrong")}).MarshalCBOR())
 	if err := k.handle(t.Context(), frame{Type: typeAnswer, ID: k.ids.Load() + 1, Body: wrong}); err != nil {
--- a/mesh/linker/drain.go
+++ b/mesh/linker/drain.go
@@ -18,11 +18,11 @@
 	// Also when the links do not close in time, no new one may be opened.
 	defer l.closed.Store(true)
 	// Handlers that still run may make calls, so this node's own calls end second.
-	if err := l.drainLinks(ctx, func(k *link) bool { return k.purpose == calls && !k.dialed }); err != nil {
+	if err := l.drainLinks(ctx, func(k *link) bool { return k.purpose.carriesCalls() && !k.dialed }); err != nil {
 		return err
 	}
 	l.closed.Store(true)
-	if err := l.drainLinks(ctx, func(k *link) bool { return k.purpose == calls }); err != nil {
+	if err := l.drainLinks(ctx, func(k *link) bool { return k.purpose.carriesCalls() }); err != nil {
 		return err
 	}
 	return l.drainLinks(ctx, func(*link) bool { return true })
--- a/mesh/linker/drain_test.go
+++ b/mesh/linker/drain_test.go
@@ -57,15 +57,15 @@
 	if _, err := a.Call(t.Context(), b.Address(), newCall("")); err != nil {
 		t.Fatal(err)
 	}
-	k := a.peer(b.Address()).best()
+	k, _ := a.peer(b.Address()).best(calls)
 	if err := k.handle(t.Context(), frame{Type: typeClosing}); err != nil {
 		t.Fatal(err)
 	}
 	for range 100 { // calls queued before the writer has come to the reply may still be written
 		id := k.ids.Add(1)
-		p := &pending{done: make(chan answer.Answer, 1), refused: make(chan struct{})}
+		p := newPending()
 		k.pending.Store(id, p)
-		k.queue <- outgoing{data: must(k.encodeCall(t.Context(), id, newCall(""))).Bytes(), call: p}
+		k.queue <- outgoing{data: must(k.encodeCall(t.Context(), typeCall, id, newCall(""))).Bytes(), call: p}
 		select {
 		case <-p.refused:
 			return
--- a/mesh/linker/frame.go
+++ b/mesh/linker/frame.go
@@ -21,12 +21,15 @@
 	typeCancel                       // ID: the caller no longer waits for the call
 	typeClosing                      // the sender closes this link once the calls sent before typeClosed are answered
 	typeClosed                       // reply to typeClosing: no call follows on this link
+	typeOffer                        // ID, body: call.Call without its own body, which the sender keeps until typeGrant
+	typeGrant                        // ID: the peer has room for the body of the offered call
+	typeBody                         // ID, body: byte string; the body of the offered call
 )
 
 // hasBody lists the frame types whose body must be present; the others must have none.
 var hasBody = map[frameType]bool{
 	typeHello: true, typeProof: true, typeMessage: true, typeCall: true, typeAnswer: true,
-	typeCancel: false, typeClosing: false, typeClosed: false,
+	typeCancel: false, typeClosing: false, typeClosed: false, typeOffer: true, typeGrant: false, typeBody: true,
 }
 
 // frame is one WebSocket message.
--- a/mesh/linker/frame_test.go
+++ b/mesh/linker/frame_test.go
@@ -36,6 +36,9 @@
 		{Type: typeCancel, Generation: 5, ID: 9},
 		{Type: typeClosing, Generation: 5},
 		{Type: typeClosed, Generation: 5},
+		{Type: typeOffer, Generation: 5, ID: 9, Body: must(newCall("").MarshalCBOR())},
+		{Type: typeGrant, Generation: 5, ID: 9},
+		{Type: typeBody, Generation: 5, ID: 9, Body: must(encMode.Marshal([]byte("body")))},
 	}
 }
 
--- a/mesh/linker/hello.go
+++ b/mesh/linker/hello.go
@@ -19,8 +19,15 @@
 const (
 	control purpose = 1 + iota // messages, both ways
 	calls                      // calls from the dialer to the acceptor
+	bodies                     // calls with large bodies from the dialer to the acceptor
 )
 
+// purposes is the number of purposes.
+const purposes = 3
+
+// carriesCalls reports whether connections of the purpose carry calls from the dialer to the acceptor.
+func (p purpose) carriesCalls() bool { return p == calls || p == bodies }
+
 const (
 	// handshakeTimeout bounds how long an unauthenticated connection can hold resources.
 	handshakeTimeout = 5 * time.Second
@@ -100,7 +107,7 @@
 	if err := receiveBody(c, typeHello, 0, &other); err != nil {
 		return hello{}, 0, err
 	}
-	if len(other.Nonce) != nonceSize || other.Node == "" || (other.Purpose != control && other.Purpose != calls) {
+	if len(other.Nonce) != nonceSize || other.Node == "" || (other.Purpose != control && !other.Purpose.carriesCalls()) {
 		return hello{}, 0, malformed("incomplete hello")
 	}
 	own := newHello(node, region, other.Purpose)
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -67,7 +67,7 @@
 	outstanding atomic.Int64 // calls of this node that use the link
 	closing     atomic.Bool  // no new calls
 	pending     sync.Map     // uint64 -> *pending
-	serving     sync.Map     // uint64 -> context.CancelFunc
+	serving     sync.Map     // uint64 -> *handling
 	handlers    *group
 
 	begun  time.Time     // of this end of the link
@@ -177,7 +177,7 @@
 		case <-l.idle:
 		case <-idle.C:
 			now := l.ids.Load()
-			if l.dialed && l.purpose == calls && now == used && l.outstanding.Load() == 0 {
+			if l.dialed && l.purpose.carriesCalls() && now == used && l.outstanding.Load() == 0 {
 				l.closing.Store(true)
 				draining = true
 			}
@@ -197,7 +197,7 @@
 
 func (l *link) beginDrain() {
 	l.closing.Store(true)
-	if l.purpose == calls && !l.dialed {
+	if l.purpose.carriesCalls() && !l.dialed {
 		l.sendUrgent(typeClosing, 0)
 	}
 }
@@ -275,7 +275,7 @@
 // returns a fault if an earlier question had no answer. Idle connections for calls are left alone: probing them costs
 // more than what they carry.
 func (l *link) probe(now time.Time) error {
-	if l.purpose == calls && l.outstanding.Load() == 0 {
+	if l.purpose.carriesCalls() && l.outstanding.Load() == 0 {
 		l.probed = time.Time{}
 		return nil
 	}
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -99,6 +99,7 @@
 	ctx      context.Context
 	log      *slog.Logger
 	server   server
+	intake   intake
 	injector injector
 	handlers []handler
 	node     string
@@ -163,6 +164,10 @@
 		return nil, err
 	}
 	l.handlers = kernel.All[handler](k)
+	l.intake = unlimited{}
+	if all := kernel.All[intake](k); len(all) > 0 {
+		l.intake = all[0]
+	}
 	if l.injector, err = kernel.Need[injector](k); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/mesh/linker/offer_test.go
@@ -0,0 +1,169 @@
+package linker
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wisteriaspoke.example/mesh/answer"
+	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/fault"
+)
+
+// gate is an intake that the tests open and close.
+type gate struct {
+	open    chan struct{} // one value admits one body
+	full    atomic.Bool   // refuse instead of waiting
+	entered atomic.Int64
+	left    atomic.Int64
+	saw     atomic.Int64 // bytes of bodies that came with offers
+}
+
+func newGate(n *node) *gate {
+	g := &gate{open: make(chan struct{}, 8)}
+	n.intake = g
+	return g
+}
+
+func (g *gate) Enter(ctx context.Context, c call.Call) (answer.Answer, bool) {
+	g.entered.Add(1)
+	g.saw.Add(int64(len(c.Body())))
+	refusal := answer.New(answer.Fields{Status: 503, Ran: answer.No, Reason: "full"})
+	if g.full.Load() {
+		return refusal, false
+	}
+	select {
+	case <-g.open:
+		return answer.Answer{}, true
+	case <-ctx.Done():
+		return refusal, false
+	}
+}
+
+func (g *gate) Leave(time.Duration) { g.left.Add(1) }
+
+var large = strings.Repeat("b", 10*offeredBody)
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("never happened: %s", what)
+}
+
+// Guards against large bodies that are sent to a host without room, and against small calls that wait behind them.
+func TestOffer(t *testing.T) {
+	a, b := newNode(t), newNode(t)
+	g := newGate(b)
+	done := make(chan string, 1)
+	go func() {
+		got, err := a.Call(t.Context(), b.Address(), newCall(large))
+		if err != nil {
+			t.Error(err)
+		}
+		done <- string(got.Body())
+	}()
+	eventually(t, "the offer arrives", func() bool { return g.entered.Load() == 1 })
+	if got, err := a.Call(t.Context(), b.Address(), newCall("small")); err != nil || string(got.Body()) != "small" {
+		t.Errorf("a small call beside it: %q, %v", got.Body(), err)
+	}
+	select {
+	case <-done:
+		t.Fatal("the call ended before there was room")
+	default:
+	}
+	if n := g.saw.Load(); n != 0 {
+		t.Errorf("%d bytes came with the offer", n)
+	}
+	g.open <- struct{}{}
+	if got := <-done; got != large {
+		t.Errorf("the answer has %d bytes", len(got))
+	}
+	if g.left.Load() != 1 {
+		t.Error("the room was not given back")
+	}
+}
+
+// Guards against a refusal of an offer that does not prove that the call has not run.
+func TestOfferRefused(t *testing.T) {
+	ran := atomic.Int64{}
+	a, b := newNode(t), newNode(t, serving(func(ctx context.Context, c call.Call) answer.Answer {
+		ran.Add(1)
+		return echo(ctx, c)
+	}))
+	newGate(b).full.Store(true)
+	got, err := a.Call(t.Context(), b.Address(), newCall(large))
+	if err != nil || got.Ran() != answer.No || ran.Load() != 0 {
+		t.Errorf("ran %q, %v; the upstream saw %d calls", got.Ran(), err, ran.Load())
+	}
+}
+
+// Guards against room that is kept for a caller that has left, and against a wrong "may have run" for it.
+func TestOfferAbandoned(t *testing.T) {
+	a, b := newNode(t), newNode(t)
+	g := newGate(b)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		eventually(t, "the offer arrives", func() bool { return g.entered.Load() == 1 })
+		cancel()
+	}()
+	_, err := a.Call(ctx, b.Address(), newCall(large))
+	wantKind(t, err, fault.NotRun)
+	eventually(t, "the handler ends", func() bool { return b.running.Load() == 0 })
+	g.open <- struct{}{}
+	if got, err := a.Call(t.Context(), b.Address(), newCall(large)); err != nil || string(got.Body()) != large {
+		t.Errorf("the next one: %d bytes, %v", len(got.Body()), err)
+	}
+}
+
+// Guards against a wrong "may have run" when the link breaks while a body waits for room.
+func TestOfferLinkBreaks(t *testing.T) {
+	p := newProxy(t)
+	a, b := newNode(t), newNode(t)
+	g := newGate(b)
+	p.target.Store(b.Address())
+	go func() {
+		eventually(t, "the offer arrives", func() bool { return g.entered.Load() == 1 })
+		p.cut()
+	}()
+	// The link after the break meets the same closed gate.
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	got, err := a.Call(ctx, p.address(), newCall(large))
+	// The peer's refusal at the deadline may come before this side's own.
+	if err != nil || got.Ran() != answer.No {
+		wantKind(t, err, fault.NotRun)
+	}
+}
+
+// Guards against room that a sender keeps which sends nothing, and against the loss of a body that comes late.
+func TestOfferBodyLate(t *testing.T) {
+	l := &Linker{intake: &gate{open: make(chan struct{}, 1)}}
+	g := l.intake.(*gate)
+	g.open <- struct{}{}
+	k := newLink(l, nil, nil, bodies, false, 1, "")
+	h := &handling{body: make(chan []byte, 1)}
+	go func() {
+		eventually(t, "the room is given back", func() bool { return g.left.Load() == 1 })
+		h.body <- []byte("late")
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	c, _, ok := k.await(ctx, 1, call.New(call.Fields{Start: 5000, Left: 9000}), h)
+	if !ok || string(c.Body()) != "late" {
+		t.Fatalf("body %q, %v", c.Body(), ok)
+	}
+	if wait := int64(bodyWait / time.Millisecond); c.Start() > 5000-wait || c.Left() > 9000-wait {
+		t.Errorf("the wait is not counted: start in %d ms, left %d ms", c.Start(), c.Left())
+	}
+	if g.left.Load() != 1 {
+		t.Errorf("the room was given back %d times", g.left.Load())
+	}
+}
--- a/mesh/linker/peer.go
+++ b/mesh/linker/peer.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// callLinks bounds the call connections to one peer; the second one keeps a large body from delaying all calls.
+	// callLinks bounds the connections of one purpose to one peer that this node dials for calls.
 	callLinks = 2
 	// busyLink is the number of outstanding calls on each connection from which another one is dialed.
 	busyLink   = 8
@@ -36,9 +36,9 @@
 	retired atomic.Bool   // another peer value has taken over the address
 	gone    chan struct{} // closed after retired is set
 
-	dialing  [2]atomic.Pointer[attempt] // by purpose
-	failures atomic.Int64               // dials failed in a row
-	retryAt  atomic.Int64               // Unix nanoseconds before which no dial starts
+	dialing  [purposes]atomic.Pointer[attempt] // by purpose
+	failures atomic.Int64                      // dials failed in a row
+	retryAt  atomic.Int64                      // Unix nanoseconds before which no dial starts
 }
 
 // attempt is a dial that all waiting callers share.
@@ -58,29 +58,30 @@
 	return p
 }
 
-// pick returns the call connection with the fewest outstanding calls, dialing if there is none.
-func (p *peer) pick(ctx context.Context) (*link, error) {
-	best := p.best()
+// pick returns the connection of the purpose with the fewest outstanding calls, dialing if there is none.
+func (p *peer) pick(ctx context.Context, why purpose) (*link, error) {
+	best, n := p.best(why)
 	if best == nil {
-		return p.dial(ctx, calls)
+		return p.dial(ctx, why)
 	}
-	if best.outstanding.Load() >= busyLink && len(*p.calls.Load()) < callLinks && p.wait() == 0 {
-		p.beginDial(calls)
+	if best.outstanding.Load() >= busyLink && n < callLinks && p.wait() == 0 {
+		p.beginDial(why)
 	}
 	return best, nil
 }
 
-func (p *peer) best() *link {
-	var best *link
+// best returns that connection, or nil, and how many there are.
+func (p *peer) best(why purpose) (best *link, n int) {
 	for _, k := range *p.calls.Load() {
-		if k.closing.Load() {
+		if k.purpose != why || k.closing.Load() {
 			continue
 		}
+		n++
 		if best == nil || k.outstanding.Load() < best.outstanding.Load() {
 			best = k
 		}
 	}
-	return best
+	return best, n
 }
 
 // wait returns how long the back-off still forbids a dial.
@@ -160,7 +161,7 @@
 
 // add makes the link available to calls and messages.
 func (p *peer) add(k *link) {
-	if k.purpose == calls {
+	if k.purpose.carriesCalls() {
 		if k.dialed {
 			p.changeCalls(func(ks []*link) []*link { return append(ks, k) })
 		}
@@ -193,7 +194,7 @@
 }
 
 func (p *peer) remove(k *link) {
-	if k.purpose == calls {
+	if k.purpose.carriesCalls() {
 		p.removeCalls(k)
 		return
 	}
@@ -233,8 +234,12 @@
 	if p.touched.Swap(false) {
 		return false
 	}
-	dialing := p.dialing[0].Load() != nil || p.dialing[1].Load() != nil
-	return !dialing && p.control.Load() == nil && len(*p.calls.Load()) == 0 && len(p.box) == 0
+	for i := range p.dialing {
+		if p.dialing[i].Load() != nil {
+			return false
+		}
+	}
+	return p.control.Load() == nil && len(*p.calls.Load()) == 0 && len(p.box) == 0
 }
 
 // send empties the box until the linker ends or the peer is retired.
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"wisteriaspoke.example/mesh/answer"
@@ -13,8 +14,8 @@
 
 // handle acts on one frame; an error closes the link.
 func (l *link) handle(ctx context.Context, f frame) error {
-	accepts := l.purpose == calls && !l.dialed
-	answers := l.purpose == calls && l.dialed
+	accepts := l.purpose.carriesCalls() && !l.dialed
+	answers := l.purpose.carriesCalls() && l.dialed
 	switch {
 	case f.Type == typeMessage && l.purpose == control:
 		m, err := encoder.Decode(f.Body)
@@ -22,16 +23,20 @@
 			return err
 		}
 		l.owner.receive(l.peer.address, m)
-	case f.Type == typeCall && accepts:
+	case (f.Type == typeCall || f.Type == typeOffer) && accepts:
 		return l.accept(ctx, f)
+	case f.Type == typeBody && accepts:
+		return l.takeBody(f)
 	case f.Type == typeCancel && accepts:
-		if cancel, ok := l.serving.Load(f.ID); ok {
-			cancel.(context.CancelFunc)()
+		if h, ok := l.serving.Load(f.ID); ok {
+			h.(*handling).cancel()
 		}
 	case f.Type == typeClosed && accepts:
 		signal(l.acked)
 	case f.Type == typeAnswer && answers:
 		return l.deliver(f)
+	case f.Type == typeGrant && answers:
+		l.grant(f.ID)
 	case f.Type == typeClosing && answers:
 		l.closing.Store(true)
 		l.peer.removeCalls(l)
@@ -76,28 +81,44 @@
 	if l.owner.running.Add(1) > int64(l.owner.LinkCalls) {
 		l.owner.running.Add(-1)
 		callsRefused.Inc(1)
-		l.reply(ctx, f.ID, answer.New(answer.Fields{Status: 503, Ran: answer.No, Reason: "busy"}))
+		l.reply(ctx, f.ID, answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonBusy}))
 		return nil
 	}
-	handling, cancel := within(ctx, c.Left())
-	if _, taken := l.serving.LoadOrStore(f.ID, cancel); taken {
+	limited, cancel := within(ctx, c.Left())
+	h := &handling{cancel: cancel, body: make(chan []byte, 1)}
+	if _, taken := l.serving.LoadOrStore(f.ID, h); taken {
 		cancel()
 		l.owner.running.Add(-1)
 		return malformed("two calls with one identifier")
 	}
+	id, offered := f.ID, f.Type == typeOffer
 	l.handlers.start(func() {
 		defer l.owner.running.Add(-1)
 		defer cancel()
-		defer l.serving.Delete(f.ID)
+		defer l.serving.Delete(id)
 		if late > heldUp {
 			callsLate.Inc(1)
-			pauser.Pause(handling, cancelWait)
+			pauser.Pause(limited, cancelWait)
 		}
-		l.reply(ctx, f.ID, l.owner.server.Serve(handling, c))
+		if offered {
+			whole, end, ok := l.await(limited, id, c, h)
+			if !ok {
+				l.reply(ctx, id, end)
+				return
+			}
+			c = whole
+		}
+		l.reply(ctx, id, l.owner.server.Serve(limited, c))
 	})
 	return nil
 }
 
+// Reasons of refusals.
+const (
+	reasonBusy     = "busy"     // too many calls of other nodes run here
+	reasonBodiless = "bodiless" // the body of an offered call did not come in time
+)
+
 const (
 	// heldUp is how much longer than usual a call may be on its way. Beyond it, its caller may have left meanwhile, and
 	// the news of that is behind it on the same connection.
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -192,6 +192,16 @@
 	}
 }
 
+// Check returns why the call may not run here now, or the empty string.
+func (r *Runner) Check(ctx context.Context, c call.Call) string {
+	return r.check(ctx, c, r.place.Load())
+}
+
+// Refuse returns the end of a call that was not run, with the expected wait for room.
+func (r *Runner) Refuse(c call.Call, reason string, wait time.Duration) answer.Answer {
+	return r.refuse(c, r.place.Load(), reason, wait)
+}
+
 // check returns why the call may not run here now, or the empty string.
 func (r *Runner) check(ctx context.Context, c call.Call, p *place) string {
 	l := r.local.Current()
