--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -251,3 +251,44 @@
 		t.Errorf("after 5 = %v", rs)
 	}
 }
+
+// TestIsolated guards against a node that is cut off in silence and still takes calls which only others can serve, and
+// against one that stops work because others have ended.
+func TestIsolated(t *testing.T) {
+	addresses := []string{"a1-x", "a1-y", "a2-x", "b1-x", "b1-y"}
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{nodes: map[string]*node{}, cut: map[string]bool{}, sent: map[string]int{}}
+		for _, a := range addresses {
+			n.start(a, addresses...)
+		}
+		var out strings.Builder
+		wait := func(d time.Duration, label string) {
+			time.Sleep(d)
+			synctest.Wait()
+			out.WriteString(n.state(label))
+			for _, a := range addresses {
+				if x := n.nodes[a]; x != nil && x.Ready() != nil {
+					fmt.Fprintf(&out, "  %s: not ready: %v\n", a, x.Ready())
+				}
+			}
+		}
+		n.nodes["a1-x"].Learn(configuration(4, 10))
+		for _, a := range addresses {
+			enrol(t, n.nodes[a], 1, false)
+		}
+		wait(time.Second, "started")
+		n.mutex.Lock()
+		n.cut["a1-x"] = true
+		n.mutex.Unlock()
+		wait(200*time.Millisecond, "a1-x is cut off, 200 ms later: a short silence proves nothing")
+		wait(1600*time.Millisecond, "1.8 s later")
+		n.sever()
+		wait(1300*time.Millisecond, "the cut has healed, 1.3 s later")
+		for _, a := range addresses[1:] {
+			n.kill(a)
+		}
+		wait(3*time.Second, "all others are killed, 3 s later")
+		goldie.New(t).Assert(t, "isolated", []byte(out.String()))
+		n.kill("a1-x")
+	})
+}
