--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -44,10 +44,6 @@
 	relink = 300 * time.Millisecond
 	// forget is how long an address is tried that cannot be reached.
 	forget = 45 * time.Second
-	// alone is the silence of all peers, in their pulse intervals, after which this node takes itself to be cut off. With
-	// company peers or more, one late pulse is not enough for it.
-	alone   = 1.3
-	company = 3
 	// inputQueue bounds the inputs that wait; about a second of pulses from a thousand peers.
 	inputQueue = 2048
 )
@@ -114,7 +110,6 @@
 	far       atomic.Int64 // shortest time of an answer of the store, nanoseconds
 	leaving   atomic.Bool
 	size      atomic.Int64 // largest number of other nodes
-	isolated  atomic.Bool  // nothing is heard from any other node
 
 	// The rest belongs to the goroutine.
 	peers   map[string]*peer
@@ -125,7 +120,6 @@
 	own     peer
 	number  uint64
 	pulled  time.Time // when missing records were last asked for
-	heardAt time.Time // last message of any peer
 	dirty   bool
 }
 
@@ -232,8 +226,6 @@
 		return fault.New(fault.Unavailable, "this node is stopping", "use another node")
 	case g.View().Plan() == nil:
 		return fault.New(fault.Unavailable, "no configuration is known yet", "wait until the store or another node answers")
-	case g.isolated.Load():
-		return fault.New(fault.Unavailable, "no other node is heard of, so most calls cannot be served here", "check the host's network")
 	}
 	return nil
 }
@@ -334,11 +326,6 @@
 	if p == nil {
 		return
 	}
-	g.heardAt = g.now()
-	if g.isolated.Swap(false) {
-		g.dirty = true
-		g.log.Info("other nodes are heard of again", "peer", from)
-	}
 	switch b := m.Body().(type) {
 	case *pulse:
 		g.heard(p, b)
--- a/mesh/gossiper/publish.go
+++ b/mesh/gossiper/publish.go
@@ -12,7 +12,7 @@
 	now := g.now()
 	ts := make([]*target.Target, 0, len(g.peers)+1)
 	for _, p := range g.peers {
-		if !g.isolated.Load() && p.reachable(now, g.interval(p)) && !p.pulse.Leaving && p.pulse.Endpoint != nil {
+		if p.reachable(now, g.interval(p)) && !p.pulse.Leaving && p.pulse.Endpoint != nil {
 			ts = append(ts, g.target(*p.pulse.Endpoint, p))
 		}
 	}
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -81,7 +81,6 @@
 	now := g.now()
 	g.pulse(false)
 	g.lag()
-	g.isolate(now)
 	linked := 0
 	for address, p := range g.peers {
 		if p.linked {
@@ -112,31 +111,3 @@
 	g.nodes.Store(&cs)
 	g.size.Store(max(g.size.Load(), int64(len(cs))))
 }
-
-// isolate takes this node to be cut off once all peers have been silent for longer than their pulses allow. Calls to them
-// are then refused at once instead of waiting on links that nobody answers, and callers are asked to use other nodes.
-func (g *Gossiper) isolate(now time.Time) {
-	if g.isolated.Load() {
-		if len(g.peers) == 0 {
-			// All have been forgotten: there is nobody left to be cut off from.
-			g.isolated.Store(false)
-		}
-		return
-	}
-	linked, shortest := 0, time.Duration(0)
-	for _, p := range g.peers {
-		if !p.linked || p.pulse == nil {
-			continue
-		}
-		linked++
-		if i := g.interval(p); shortest == 0 || i < shortest {
-			shortest = i
-		}
-	}
-	if linked < company || now.Sub(g.heardAt) < time.Duration(alone*float64(shortest)) {
-		return
-	}
-	g.isolated.Store(true)
-	g.dirty = true
-	g.log.Warn("no other node is heard of", "linked", linked, "silence", now.Sub(g.heardAt).Milliseconds())
-}
