forwarder: no "not run" for a request that an earlier send may have run

Cause: the end of a request was told by its last send alone. An idempotent request that was lost at one endpoint and then refused by the others ended with 503, which promises that it has not run. Found by reading. Change: such a request ends with 502, or with the failure that an endpoint has answered with. Test: forwarder TestEnds, which shows 503 in two cases without the change.

--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -137,6 +137,8 @@
 	fields   call.Fields
 	tried    []*target.Target
 	arrivals int
+	ran      bool           // an earlier send has run or may have
+	failure  *answer.Answer // the last failure that an upstream answered with
 	expected time.Duration
 	begun    time.Time
 	due      time.Time // end of the latency objective, counted from the caller's first attempt
@@ -181,6 +183,7 @@
 		if ctx.Err() != nil && a.Ran() != answer.Yes {
 			act = giveUp
 		}
+		j.keep(a)
 		switch act {
 		case deliver:
 			f.delivered(j, a, left)
@@ -358,9 +361,26 @@
 	f.log.Info("request answered", append(j.attributes(a), "left", left.Milliseconds())...)
 }
 
-// lost ends a request without an answer of an upstream.
+// keep notes what an answer says of the request as a whole.
+func (j *journey) keep(a answer.Answer) {
+	j.ran = j.ran || a.Ran() != answer.No
+	if a.Ran() == answer.Yes && a.Status() >= http.StatusInternalServerError {
+		j.failure = &a
+	}
+}
+
+// lost ends a request whose last send got no answer of an upstream. The refusal of the last send does not prove that the
+// earlier ones have not run.
 func (f *Forwarder) lost(j *journey, a answer.Answer) answer.Answer {
+	if j.failure != nil {
+		f.delivered(j, *j.failure, 0)
+		return *j.failure
+	}
 	w := a.Fields()
+	if j.ran && a.Ran() == answer.No {
+		w.Ran, w.Wait = answer.Maybe, 0
+		a = answer.New(w)
+	}
 	w.Status = outcome(a)
 	if a.Ran() == answer.No && w.Wait == 0 {
 		w.Wait = soon.Milliseconds()
