--- a/Makefile
+++ b/Makefile
@@ -1,13 +1,14 @@
-MODULES := mesh node ctl objects platform stub load bench
+MODULES := mesh node ctl objects platform platform/soak stub load bench
 PROGRAMS := node ctl objects platform stub load bench
 export GOTOOLCHAIN := local
 
-.PHONY: demo test bench build format lint fuzz hunt results capacity
+.PHONY: demo test bench build format lint fuzz hunt soak results capacity
 
 build:
 	@mkdir -p bin
 	@for p in $(PROGRAMS); do go build -o bin/wisteriaspoke-$$p ./$$p || exit 1; done
 	@mv bin/wisteriaspoke-ctl bin/wisteriaspoke
+	@go build -o bin/wisteriaspoke-soak ./platform/soak
 
 demo: build
 	@scripts/demo
@@ -38,3 +39,10 @@
 
 hunt:
 	@scripts/hunt
+
+SEED ?= 1
+FOR ?= 20s
+
+# Plays faults on nodes that run as separate processes; SEED decides which.
+soak: build
+	@bin/wisteriaspoke-soak --seed $(SEED) --for $(FOR) 2>/dev/null
