exchanger: do not reuse a connection after an early refusal of a large body

Ruled out: the way between nodes (the cancel took 23 ms); a lost cancel. Tried: resetting connections of abandoned calls; the kernel hands the bytes to the endpoint all the same (a test showed it), so it was dropped. Change: a connection that has carried a body of 4 KB or more is kept only after an answer below 400. Test: exchanger TestEarlyRefusal, which fails without the change.

--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -27,6 +27,9 @@
 	freshIdle = 1500 * time.Millisecond
 	// inlineBody is the largest body that is written before the response is read; it fits into the socket's buffer.
 	inlineBody = 16 << 10
+	// earlyBody is the size of a body from which a refusal or failure may come before the upstream has read all of it. The
+	// rest then lies in the socket's buffer, where the next request would wait behind it.
+	earlyBody = 4 << 10
 	// maxAnswer bounds the body of a response.
 	maxAnswer = 16 << 20
 	// strays is the number of responses to other requests that are skipped before the connection is given up.
@@ -157,6 +160,9 @@
 		// The next response may be the one to this call, but the connection is out of step.
 		defer func() { keep = false }()
 	}
+	if len(c.Body()) >= earlyBody && (a.Ran() != answer.Yes || a.Status() >= http.StatusBadRequest) {
+		keep = false
+	}
 	select {
 	case err := <-written:
 		return a, keep && err == nil
--- a/mesh/exchanger/exchanger_test.go
+++ b/mesh/exchanger/exchanger_test.go
@@ -211,3 +211,30 @@
 		t.Errorf("%d bytes followed the head, the body has %d", n, size)
 	}
 }
+
+// TestEarlyRefusal guards against a request that waits on a connection behind the rest of a body which the upstream has
+// refused and not read yet: its caller may have left when the upstream comes to it.
+func TestEarlyRefusal(t *testing.T) {
+	refusal := "HTTP/1.1 503 No\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, c := range []struct {
+		name   string
+		body   int
+		answer string
+		opened int64
+	}{
+		{"small body, refused", 1 << 10, refusal, 1},
+		{"large body, refused", 8 << 10, refusal, 2},
+		{"large body, answered", 8 << 10, whole, 1},
+	} {
+		u := newUpstream(t, script{send: c.answer, stay: true})
+		x := &Exchanger{Address: u.listener.Addr().String(), Dialect: dialect{}}
+		f := request("one").Fields()
+		f.Method, f.Body = "POST", make([]byte, c.body)
+		x.Exchange(context.Background(), call.New(f))
+		x.Exchange(context.Background(), request("two"))
+		if x.Opened() != c.opened {
+			t.Errorf("%s: %d connections for two requests, want %d", c.name, x.Opened(), c.opened)
+		}
+		x.Reset()
+	}
+}
