gossiper: signs of life cross regions once for all nodes of a region

Change: the reachable node with the lowest address of a region sends the signs of life of its nodes to that of each other region, which passes them on; whole pulses go to other regions on each change and every 10 s. The list of addresses goes to the own region and to nodes that know no configuration.

--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -31,10 +31,13 @@
 const (
 	// tick is the interval of checks of peers' silence and of attempts to link with known nodes.
 	tick = 200 * time.Millisecond
-	// pulseInterval is the longest time between two pulses to a peer of the own region, and farFactor the multiple of
-	// it for the others, as traffic between regions is dear.
+	// pulseInterval is the longest time between two signs of life of a peer of the own region, and farFactor the multiple
+	// of it for the others, as traffic between regions is dear.
 	pulseInterval = time.Second
 	farFactor     = 3
+	// farPulse is the longest time between two whole pulses to a peer of another region. Changes are sent at once, so it
+	// only bounds how long a lost one is missed.
+	farPulse = 10 * time.Second
 	// silence is how long a node that sends no pulse is taken to be reachable, in intervals: two pulses and a margin.
 	silence = 2.6
 	// pullInterval is the pause between two questions for missing records, above the time of an answer from afar.
@@ -120,6 +123,7 @@
 	own     peer
 	number  uint64
 	pulled  time.Time // when missing records were last asked for
+	beaten  time.Time // when signs of life were last sent to other regions
 	dirty   bool
 }
 
@@ -293,7 +297,6 @@
 		p.linked, p.changed = true, g.now()
 		g.log.Info("peer linked", "peer", p.address)
 		g.sender.Send(p.address, g.ownPulse())
-		g.sender.Send(p.address, g.addresses())
 	case event.Unlinked:
 		if p := g.peers[e.Peer()]; p != nil {
 			p.linked, p.changed = false, g.now()
@@ -337,6 +340,8 @@
 		g.spread(g.keep(b.Records), region, from)
 	case *pull:
 		g.supply(p, b)
+	case *beats:
+		g.hear(p, b)
 	case *nodes:
 		for _, a := range b.Addresses {
 			g.know(a)
@@ -354,6 +359,10 @@
 		g.dirty = true
 		g.logPeer(p)
 	}
+	if (old == nil || old.Incarnation != u.Incarnation) && (u.Region == g.config.Region || u.Configuration == 0) {
+		// A node that starts learns the others from its own region, and from anywhere if it knows nothing yet.
+		g.sender.Send(p.address, g.addresses())
+	}
 	if old == nil || old.Store != u.Store || old.Far != u.Far || old.Leaving != u.Leaving {
 		g.publishNodes()
 	}
--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -32,6 +32,7 @@
 	nodes map[string]*node
 	cut   map[string]bool // nodes whose links are down
 	sent  map[string]int  // records that came from other regions, by the receiver's region
+	cross int             // messages between regions
 }
 
 // node is one gossiper with fakes around it.
@@ -68,6 +69,9 @@
 	if err != nil {
 		panic(err)
 	}
+	if n.region != other.region {
+		n.network.cross++
+	}
 	if rs, ok := back.Body().(*records); ok {
 		if n.region != other.region {
 			n.network.sent[other.region] += len(rs.Records)
@@ -251,3 +255,58 @@
 		t.Errorf("after 5 = %v", rs)
 	}
 }
+
+// TestSignsOfLife guards against endpoints of other regions that are taken for gone between two whole pulses, against dead
+// ones that stay in use, and against traffic between regions that grows with the square of the fleet.
+func TestSignsOfLife(t *testing.T) {
+	var out strings.Builder
+	for _, size := range []int{3, 6, 12} {
+		synctest.Test(t, func(t *testing.T) {
+			n := &network{nodes: map[string]*node{}, cut: map[string]bool{}, sent: map[string]int{}}
+			var addresses []string
+			for i := range size {
+				addresses = append(addresses, fmt.Sprintf("a1-%02d", i), fmt.Sprintf("b1-%02d", i))
+			}
+			for _, a := range addresses {
+				n.start(a, addresses...)
+			}
+			n.nodes["a1-00"].Learn(configuration(4, 10))
+			for _, a := range addresses {
+				enrol(t, n.nodes[a], 1, false)
+			}
+			known := func(a string) int { return len(n.nodes[a].View().Pool("s").Stable) }
+			wait := func(d time.Duration, label string) {
+				time.Sleep(d)
+				synctest.Wait()
+				fmt.Fprintf(&out, "%2d nodes, %-34s b1-01 calls %d endpoints\n", 2*size, label+":", known("b1-01"))
+			}
+			wait(2*time.Second, "started")
+			crossed := func() int {
+				n.mutex.Lock()
+				defer n.mutex.Unlock()
+				return n.cross
+			}
+			before := crossed()
+			for range 30 {
+				time.Sleep(time.Second)
+				synctest.Wait()
+				if got := known("b1-01"); got != 2*size {
+					t.Fatalf("b1-01 calls %d of %d endpoints", got, 2*size)
+				}
+			}
+			fmt.Fprintf(&out, "%2d nodes, messages between regions in 30 s: %d\n", 2*size, crossed()-before)
+			n.mutex.Lock()
+			n.cut["a1-02"] = true
+			n.mutex.Unlock()
+			wait(11*time.Second, "a1-02 silent for 11 s")
+			n.kill("a1-00")
+			wait(12*time.Second, "the speaker a1-00 killed, 12 s later")
+			n.sever()
+			wait(12*time.Second, "a1-02 is back, 12 s later")
+			for a := range n.nodes {
+				n.kill(a)
+			}
+		})
+	}
+	goldie.New(t).Assert(t, "signs", []byte(out.String()))
+}
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -12,6 +12,7 @@
 	kindRecords = "gossip.records"
 	kindNodes   = "gossip.nodes"
 	kindPull    = "gossip.pull"
+	kindBeats   = "gossip.beats"
 )
 
 func init() {
@@ -19,6 +20,7 @@
 	encoder.Register(kindRecords, func() any { return new(records) })
 	encoder.Register(kindPull, func() any { return new(pull) })
 	encoder.Register(kindNodes, func() any { return new(nodes) })
+	encoder.Register(kindBeats, func() any { return new(beats) })
 }
 
 // pulse is what a node says of itself.
@@ -50,6 +52,22 @@
 	Addresses []string
 }
 
+// beats are signs of life of one region's nodes, as one of them has heard the others.
+type beats struct {
+	_     struct{} `cbor:",toarray"`
+	Beats []beat
+}
+
+// beat is what changes from one pulse of a node to the next.
+type beat struct {
+	_           struct{} `cbor:",toarray"`
+	Address     string
+	Incarnation uint64
+	Number      uint64 // of the node's last pulse
+	Outstanding int
+	Pace        int64
+}
+
 // pull asks for the records that are newer than the revisions.
 type pull struct {
 	_             struct{} `cbor:",toarray"`
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -15,6 +15,7 @@
 	heard   time.Time // last pulse
 	pulsed  time.Time // last own pulse to it
 	pulse   *pulse
+	signed  uint64       // number of the last sign of life that others have passed on
 	ahead   int          // ticks for which it has had records that this node lacks
 	gauge   *gauge.Gauge // of its endpoint's current start
 	start   string       // the start that gauge measures
@@ -41,6 +42,9 @@
 	if old != nil && (u.Incarnation < old.Incarnation || u.Incarnation == old.Incarnation && u.Number <= old.Number) {
 		return false, false
 	}
+	if old != nil && u.Incarnation != old.Incarnation {
+		p.signed = 0
+	}
 	p.pulse, p.heard = u, now
 	if u.Endpoint != nil && (p.gauge == nil || p.start != u.Endpoint.Instance()) {
 		p.gauge, p.start = gauge.New(now), u.Endpoint.Instance()
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -58,7 +58,7 @@
 	now := g.now()
 	var m message.Message
 	for _, p := range g.peers {
-		if !p.linked || !all && now.Sub(p.pulsed) < g.interval(p) {
+		if !p.linked || !all && now.Sub(p.pulsed) < g.pulseEvery(p) {
 			continue
 		}
 		if m.Body() == nil {
@@ -69,7 +69,15 @@
 	}
 }
 
-// interval returns the longest time between two pulses with the peer.
+// pulseEvery returns the longest time between two pulses to the peer.
+func (g *Gossiper) pulseEvery(p *peer) time.Duration {
+	if p.pulse != nil && p.pulse.Region != g.config.Region {
+		return farPulse
+	}
+	return pulseInterval
+}
+
+// interval returns the longest time between two signs of life of the peer.
 func (g *Gossiper) interval(p *peer) time.Duration {
 	if p.pulse != nil && p.pulse.Region != g.config.Region {
 		return farFactor * pulseInterval
@@ -80,6 +88,7 @@
 func (g *Gossiper) tick() {
 	now := g.now()
 	g.pulse(false)
+	g.beat(now)
 	g.lag()
 	linked := 0
 	for address, p := range g.peers {
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -58,7 +58,7 @@
 	purpose    purpose
 	dialed     bool
 	generation uint64
-	compress   bool // the peer is in another region
+	compress   bool // the peer is in another region: frames are compressed, and messages come less often
 
 	queue  chan outgoing
 	urgent chan outgoing // overtakes queue: cancels and the closing exchange
@@ -287,6 +287,9 @@
 	if l.purpose == control {
 		// Messages come at least as often as this, as long as both ends live.
 		patience = l.owner.LinkSilence
+		if l.compress {
+			patience = l.owner.LinkFar
+		}
 	}
 	switch {
 	case l.probed.IsZero() && now.Sub(heard) < patience:
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -27,7 +27,7 @@
 func init() {
 	kernel.Register("linker", 30, func() kernel.Part {
 		return &Linker{
-			LinkPing: defaultPing, LinkSilence: defaultSilence, LinkDial: defaultDial, LinkRetry: defaultRetry,
+			LinkPing: defaultPing, LinkSilence: defaultSilence, LinkDial: defaultDial, LinkRetry: defaultRetry, LinkFar: defaultFar,
 			now: time.Now, random: rand.Float64,
 		}
 	})
@@ -39,6 +39,7 @@
 	defaultSilence = 15 * time.Second
 	defaultDial    = 2 * time.Second
 	defaultRetry   = 5 * time.Second
+	defaultFar     = 15 * time.Second
 )
 
 // sweepInterval keeps a peer's state for one to two minutes after its last use.
@@ -90,6 +91,7 @@
 
 	LinkPing    time.Duration `help:"Interval of probes on links." default:"5s" env:"WISTERIASPOKE_LINK_PING"`
 	LinkSilence time.Duration `help:"A link on which nothing arrives for this long is closed." default:"15s" env:"WISTERIASPOKE_LINK_SILENCE"`
+	LinkFar     time.Duration `help:"A link for messages with another region is probed when nothing arrives for this long." default:"15s" env:"WISTERIASPOKE_LINK_FAR"`
 	LinkDial    time.Duration `help:"Limit for opening a link." default:"2s" env:"WISTERIASPOKE_LINK_DIAL"`
 	LinkRetry   time.Duration `help:"Longest pause between two attempts to open a link." default:"5s" env:"WISTERIASPOKE_LINK_RETRY"`
 
@@ -142,8 +144,8 @@
 	if l.LinkPing < 0 || l.LinkSilence < 2*l.LinkPing {
 		errs = append(errs, fault.New(fault.Invalid, fmt.Sprintf("--link-ping is %v and --link-silence %v", l.LinkPing, l.LinkSilence), "set the silence to twice the interval or more"))
 	}
-	if l.LinkDial < 0 || l.LinkRetry < 0 {
-		errs = append(errs, fault.New(fault.Invalid, fmt.Sprintf("--link-dial is %v and --link-retry %v", l.LinkDial, l.LinkRetry), "set both above 0, for example 2s"))
+	if l.LinkDial < 0 || l.LinkRetry < 0 || l.LinkFar < 0 {
+		errs = append(errs, fault.New(fault.Invalid, fmt.Sprintf("--link-dial is %v, --link-retry %v and --link-far %v", l.LinkDial, l.LinkRetry, l.LinkFar), "set them above 0, for example 2s"))
 	}
 	set := 0
 	for _, file := range []string{l.LinkCert, l.LinkKey, l.LinkCA} {
