forwarder: send safe requests once more when their answer is overdue

Change: after 3.5 times the usual time at the endpoint another one with a free slot gets the request too, if the repeat can be paid for; the first success counts and the other send is cancelled. Test: forwarder TestStuckEndpoints, nine loads in virtual time.

--- a/mesh/forwarder/forward_test.go
+++ b/mesh/forwarder/forward_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"log/slog"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sebdah/goldie/v2"
@@ -24,19 +26,48 @@
 // mesh stands for the parts around the forwarder; its answers are given in order.
 type mesh struct {
 	answers []answer.Fields
-	sends   int
+	takes   []time.Duration // until the answers; at once if empty
+
+	mutex sync.Mutex // guards sends
+	sends int
 }
 
-func (m *mesh) Size() int                                                      { return 4 }
-func (m *mesh) Observe(_, _, _, _ string, _, _ bool)                           {}
-func (m *mesh) Moving(string, string) bool                                     { return false }
-func (m *mesh) Serve(ctx context.Context, c call.Call) answer.Answer           { return m.next() }
-func (m *mesh) Call(context.Context, string, call.Call) (answer.Answer, error) { return m.next(), nil }
+func (m *mesh) Size() int                                            { return 4 }
+func (m *mesh) Observe(_, _, _, _ string, _, _ bool)                 {}
+func (m *mesh) Moving(string, string) bool                           { return false }
+func (m *mesh) Serve(ctx context.Context, _ call.Call) answer.Answer { return m.next(ctx) }
+func (m *mesh) Call(ctx context.Context, _ string, _ call.Call) (answer.Answer, error) {
+	return m.next(ctx), nil
+}
 
-func (m *mesh) next() answer.Answer {
-	a := m.answers[min(m.sends, len(m.answers)-1)]
+func (m *mesh) next(ctx context.Context) answer.Answer {
+	m.mutex.Lock()
+	n := m.sends
 	m.sends++
-	return answer.New(a)
+	m.mutex.Unlock()
+	if len(m.takes) > 0 {
+		select {
+		case <-time.After(m.takes[min(n, len(m.takes)-1)]):
+		case <-ctx.Done():
+			return answer.New(answer.Fields{Status: 504, Ran: answer.Maybe, Reason: exchanger.EndReason(ctx)})
+		}
+	}
+	return answer.New(m.answers[min(n, len(m.answers)-1)])
+}
+
+// newForwarder returns a forwarder among the parts of m, and a view with six endpoints of service s.
+func newForwarder(m *mesh) (*Forwarder, *view.View) {
+	f := &Forwarder{
+		RepeatRatio: 1, RepeatReserve: 100, RepeatWindow: time.Second,
+		log: slog.New(slog.DiscardHandler), viewer: m, carrier: m, runner: m, observer: m,
+		random: func(int) int { return 0 }, estimator: estimator.New(),
+	}
+	var ts []*target.Target
+	for i := range 6 {
+		e := endpoint.New(endpoint.Fields{Address: fmt.Sprint("node-", i), Service: "s", Version: "v1", Slots: 4, State: endpoint.Ready, Instance: fmt.Sprint("i-", i)})
+		ts = append(ts, target.New(e, gauge.New(time.Now()), "own", "", ""))
+	}
+	return f, view.New(nil, time.Time{}, map[string]view.Pool{"s": {Stable: ts}})
 }
 
 // TestEnds guards against a final answer that says "not run" of a request that has run, or that hides the answer of an
@@ -62,17 +93,7 @@
 	var out strings.Builder
 	for _, c := range cases {
 		m := &mesh{answers: c.answers}
-		f := &Forwarder{
-			RepeatRatio: 1, RepeatReserve: 100, RepeatWindow: time.Second,
-			log: slog.New(slog.DiscardHandler), viewer: m, carrier: m, runner: m, observer: m,
-			random: func(int) int { return 0 }, estimator: estimator.New(),
-		}
-		var ts []*target.Target
-		for i := range 6 {
-			e := endpoint.New(endpoint.Fields{Address: fmt.Sprint("node-", i), Service: "s", Version: "v1", Slots: 4, State: endpoint.Ready, Instance: fmt.Sprint("i-", i)})
-			ts = append(ts, target.New(e, gauge.New(time.Now()), "own", "", ""))
-		}
-		v := view.New(nil, time.Time{}, map[string]view.Pool{"s": {Stable: ts}})
+		f, v := newForwarder(m)
 		r := rule.New(rule.Fields{Name: "r", Idempotent: c.idempotent, Aim: time.Second, Attempts: 3, Portions: []rule.Portion{{Service: "s", Weight: 1}}})
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		a := f.Forward(ctx, v, r, call.Fields{Request: "q", Left: 2000})
@@ -81,3 +102,50 @@
 	}
 	goldie.New(t).Assert(t, "ends", []byte(out.String()))
 }
+
+// TestStuckEndpoints plays endpoints that are stuck, lose answers or are slow. It guards against safe requests that wait for
+// them until the deadline though others have room, and against second sends that are not allowed or do not help. Calls
+// usually take 300 ms, so an answer is overdue after 1,050 ms.
+func TestStuckEndpoints(t *testing.T) {
+	fine := answer.Fields{Status: 200, Ran: answer.Yes, Body: []byte("fine")}
+	broken := answer.Fields{Status: 500, Ran: answer.Yes}
+	full := answer.Fields{Status: 503, Ran: answer.No, Reason: "full"}
+	ms := time.Millisecond
+	cases := []struct {
+		name     string
+		once     bool // the request may run only once
+		attempts int
+		ratio    float64 // of repeats
+		answers  []answer.Fields
+		takes    []time.Duration
+	}{
+		{"in time", false, 3, 1, []answer.Fields{fine}, []time.Duration{900 * ms}},
+		{"first is stuck", false, 3, 1, []answer.Fields{fine}, []time.Duration{time.Minute, 200 * ms}},
+		{"first is slow and still first", false, 3, 1, []answer.Fields{fine}, []time.Duration{1200 * ms, 500 * ms}},
+		{"both are stuck", false, 3, 1, []answer.Fields{fine}, []time.Duration{time.Minute}},
+		{"second fails, first is slow", false, 3, 1, []answer.Fields{fine, broken}, []time.Duration{1500 * ms, 100 * ms}},
+		{"second refuses, first is slow", false, 3, 1, []answer.Fields{fine, full}, []time.Duration{1500 * ms, ms}},
+		{"must run once only", true, 3, 1, []answer.Fields{fine}, []time.Duration{time.Minute, 200 * ms}},
+		{"one attempt allowed", false, 1, 1, []answer.Fields{fine}, []time.Duration{time.Minute, 200 * ms}},
+		{"no repeat left", false, 3, 0, []answer.Fields{fine}, []time.Duration{time.Minute, 200 * ms}},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			m := &mesh{answers: c.answers, takes: c.takes}
+			f, v := newForwarder(m)
+			f.RepeatRatio, f.RepeatReserve = c.ratio, c.ratio*100
+			if c.ratio == 0 {
+				for f.allowance("s").Spend(time.Now()) {
+				}
+			}
+			r := rule.New(rule.Fields{Name: "r", Idempotent: !c.once, Aim: time.Second, Attempts: c.attempts, Portions: []rule.Portion{{Service: "s", Weight: 1}}})
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			begun := time.Now()
+			a := f.Forward(ctx, v, r, call.Fields{Request: "q", Left: 2000})
+			fmt.Fprintf(&out, "%-30s %d sends: status %d, ran %s after %d ms\n", c.name, m.sends, a.Status(), a.Ran(), time.Since(begun).Milliseconds())
+		})
+	}
+	goldie.New(t).Assert(t, "stuck", []byte(out.String()))
+}
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -136,6 +136,7 @@
 	view     *view.View
 	fields   call.Fields
 	tried    []*target.Target
+	last     *target.Target // gave the last answer
 	arrivals int
 	ran      bool           // an earlier send has run or may have
 	failure  *answer.Answer // the last failure that an upstream answered with
@@ -168,7 +169,8 @@
 		if choice.Only() {
 			patience = 0
 		}
-		a := f.send(ctx, j, t, patience)
+		a, t := f.exchange(ctx, j, t, patience, targets, allowance)
+		j.last = t
 		left := remaining(ctx)
 		s := situation{
 			answer: a, idempotent: r.Idempotent(), arrivals: j.arrivals, attempts: r.Attempts(), sends: len(j.tried),
@@ -241,8 +243,8 @@
 	}
 }
 
-// send does one attempt and keeps what it says of the endpoint.
-func (f *Forwarder) send(ctx context.Context, j *journey, t *target.Target, patience time.Duration) answer.Answer {
+// prepare notes that the endpoint is tried and returns the call for it.
+func (f *Forwarder) prepare(ctx context.Context, j *journey, t *target.Target, patience time.Duration) call.Call {
 	e, g := t.Endpoint(), t.Gauge()
 	j.tried = append(j.tried, t)
 	c := j.fields
@@ -252,13 +254,17 @@
 	c.Usual = j.expected.Microseconds()
 	usual := time.Duration(float64(j.expected) * g.Pace())
 	c.Start = time.Until(j.due.Add(-time.Duration(startQuantile * float64(usual)))).Milliseconds()
+	return call.New(c)
+}
+
+// send does one attempt and keeps what it says of the endpoint. It changes nothing in the journey, so that two attempts of
+// one can be under way.
+func (f *Forwarder) send(ctx context.Context, j *journey, t *target.Target, c call.Call) answer.Answer {
+	g := t.Gauge()
 	mark := g.Begin(time.Now())
-	a := f.carry(ctx, t, call.New(c))
+	a := f.carry(ctx, t, c)
 	g.End(mark)
-	f.learn(j, t, a, c.Start > 0)
-	if arrived(a) {
-		j.arrivals++
-	}
+	f.learn(j, t, a, c.Start() > 0)
 	return a
 }
 
@@ -348,8 +354,7 @@
 	if p := j.view.Plan(); p != nil {
 		as = append(as, "version", p.Version(), "age", time.Since(j.view.Since()).Milliseconds())
 	}
-	if n := len(j.tried); n > 0 {
-		t := j.tried[n-1]
+	if t := j.last; t != nil {
 		e := t.Endpoint()
 		as = append(as, "peer", e.Address(), "instance", e.Instance(), "tier", t.Tier().String(), "release", e.Version(),
 			"outstanding", a.Outstanding(), "slots", a.Slots(), "upstream", a.Took()/1000)
