--- a/mesh/forwarder/hedge.go
+++ b/mesh/forwarder/hedge.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// overdue is the multiple of the usual time at the endpoint after which an answer is taken for lost or stuck. With the
+	// overdueFactor is the multiple of the usual time at the endpoint after which an answer is taken for lost or stuck. With the
 	// usual spread of times, some three in a hundred sound calls take longer.
-	overdue = 3.5
+	overdueFactor = 3.5
 	// leastOverdue keeps quick calls from being sent twice because of a pause of a process.
 	leastOverdue = 60 * time.Millisecond
 )
@@ -49,7 +49,7 @@
 	}
 	first := f.launch(ctx, j, t, patience)
 	defer first.cancel()
-	timer := time.NewTimer(f.late(j, t))
+	timer := time.NewTimer(f.overdue(j, t))
 	defer timer.Stop()
 	select {
 	case a := <-first.done:
@@ -57,7 +57,7 @@
 		return a, t
 	case <-timer.C:
 	}
-	other, wait := f.spare(ctx, j, targets, budget)
+	other, wait := f.alternative(ctx, j, targets, budget)
 	if other == nil {
 		a := <-first.done
 		j.count(a)
@@ -72,14 +72,14 @@
 	return j.race(first, second)
 }
 
-// late returns how long the answer of the endpoint may take.
-func (f *Forwarder) late(j *journey, t *target.Target) time.Duration {
-	return max(leastOverdue, time.Duration(overdue*float64(j.expected)*max(1, t.Gauge().Pace())))
+// overdue returns how long the answer of the endpoint may take.
+func (f *Forwarder) overdue(j *journey, t *target.Target) time.Duration {
+	return max(leastOverdue, time.Duration(overdueFactor*float64(j.expected)*max(1, t.Gauge().Pace())))
 }
 
-// spare returns an endpoint for a second send and how long to wait for a slot there, or nil if there is none with a free
+// alternative returns an endpoint for a second send and how long to wait for a slot there, or nil if there is none with a free
 // slot that can answer before the deadline, or if the repeat cannot be paid for.
-func (f *Forwarder) spare(ctx context.Context, j *journey, targets []*target.Target, budget *allowance.Allowance) (*target.Target, time.Duration) {
+func (f *Forwarder) alternative(ctx context.Context, j *journey, targets []*target.Target, budget *allowance.Allowance) (*target.Target, time.Duration) {
 	c := f.choose(j, targets)
 	t := c.Target()
 	now := time.Now()
