tracer, trace: tell from logs how a request ended and why

`wisteriaspoke trace ID FILE...` joins the lines of several nodes for a request and for the calls that its runs made, in order of time, and says the end and the cause in a sentence.

--- a/ctl/main.go
+++ b/ctl/main.go
@@ -9,6 +9,7 @@
 	_ "wisteriaspoke.example/ctl/moves"
 	_ "wisteriaspoke.example/ctl/presets"
 	_ "wisteriaspoke.example/ctl/status"
+	_ "wisteriaspoke.example/ctl/trace"
 )
 
 func main() {
