--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -31,7 +31,7 @@
 const (
 	// tick is the interval of checks of peers' silence and of attempts to link with known nodes.
 	tick = 200 * time.Millisecond
-	// pulseInterval is the longest time between two signs of life of a peer of the own region, and farFactor the multiple
+	// pulseInterval is the longest time between two heartbeats of a peer of the own region, and farFactor the multiple
 	// of it for the others, as traffic between regions is dear.
 	pulseInterval = time.Second
 	farFactor     = 3
@@ -115,16 +115,16 @@
 	size      atomic.Int64 // largest number of other nodes
 
 	// The rest belongs to the goroutine.
-	peers   map[string]*peer
-	archive *archive
-	orders  map[string]order.Order
-	plan    *plan.Plan
-	since   time.Time
-	own     peer
-	number  uint64
-	pulled  time.Time // when missing records were last asked for
-	beaten  time.Time // when signs of life were last sent to other regions
-	dirty   bool
+	peers       map[string]*peer
+	archive     *archive
+	orders      map[string]order.Order
+	plan        *plan.Plan
+	since       time.Time
+	own         peer
+	number      uint64
+	pulled      time.Time // when missing records were last asked for
+	heartbeatAt time.Time // when heartbeats were last sent to other regions
+	dirty       bool
 }
 
 // Inputs of the goroutine besides events.
@@ -340,8 +340,8 @@
 		g.spread(g.keep(b.Records), region, from)
 	case *pull:
 		g.supply(p, b)
-	case *beats:
-		g.hear(p, b)
+	case *heartbeats:
+		g.takeHeartbeats(p, b)
 	case *nodes:
 		for _, a := range b.Addresses {
 			g.know(a)
--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -256,9 +256,9 @@
 	}
 }
 
-// TestSignsOfLife guards against endpoints of other regions that are taken for gone between two whole pulses, against dead
+// TestHeartbeats guards against endpoints of other regions that are taken for gone between two whole pulses, against dead
 // ones that stay in use, and against traffic between regions that grows with the square of the fleet.
-func TestSignsOfLife(t *testing.T) {
+func TestHeartbeats(t *testing.T) {
 	var out strings.Builder
 	for _, size := range []int{3, 6, 12} {
 		synctest.Test(t, func(t *testing.T) {
@@ -300,7 +300,7 @@
 			n.mutex.Unlock()
 			wait(11*time.Second, "a1-02 silent for 11 s")
 			n.kill("a1-00")
-			wait(12*time.Second, "the speaker a1-00 killed, 12 s later")
+			wait(12*time.Second, "the delegate a1-00 killed, 12 s later")
 			n.sever()
 			wait(12*time.Second, "a1-02 is back, 12 s later")
 			for a := range n.nodes {
@@ -308,5 +308,5 @@
 			}
 		})
 	}
-	goldie.New(t).Assert(t, "signs", []byte(out.String()))
+	goldie.New(t).Assert(t, "heartbeats", []byte(out.String()))
 }
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -8,11 +8,11 @@
 
 // Kinds of messages.
 const (
-	kindPulse   = "gossip.pulse"
-	kindRecords = "gossip.records"
-	kindNodes   = "gossip.nodes"
-	kindPull    = "gossip.pull"
-	kindBeats   = "gossip.beats"
+	kindPulse      = "gossip.pulse"
+	kindRecords    = "gossip.records"
+	kindNodes      = "gossip.nodes"
+	kindPull       = "gossip.pull"
+	kindHeartbeats = "gossip.heartbeats"
 )
 
 func init() {
@@ -20,7 +20,7 @@
 	encoder.Register(kindRecords, func() any { return new(records) })
 	encoder.Register(kindPull, func() any { return new(pull) })
 	encoder.Register(kindNodes, func() any { return new(nodes) })
-	encoder.Register(kindBeats, func() any { return new(beats) })
+	encoder.Register(kindHeartbeats, func() any { return new(heartbeats) })
 }
 
 // pulse is what a node says of itself.
@@ -52,14 +52,14 @@
 	Addresses []string
 }
 
-// beats are signs of life of one region's nodes, as one of them has heard the others.
-type beats struct {
+// heartbeats are those of one region's nodes, as one of them has heard the others.
+type heartbeats struct {
 	_     struct{} `cbor:",toarray"`
-	Beats []beat
+	Nodes []heartbeat
 }
 
-// beat is what changes from one pulse of a node to the next.
-type beat struct {
+// heartbeat is what changes from one pulse of a node to the next.
+type heartbeat struct {
 	_           struct{} `cbor:",toarray"`
 	Address     string
 	Incarnation uint64
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -9,16 +9,16 @@
 
 // peer is what this node knows of another one.
 type peer struct {
-	address string
-	linked  bool
-	changed time.Time // when linked last changed
-	heard   time.Time // last pulse
-	pulsed  time.Time // last own pulse to it
-	pulse   *pulse
-	signed  uint64       // number of the last sign of life that others have passed on
-	ahead   int          // ticks for which it has had records that this node lacks
-	gauge   *gauge.Gauge // of its endpoint's current start
-	start   string       // the start that gauge measures
+	address   string
+	linked    bool
+	changed   time.Time // when linked last changed
+	heard     time.Time // last pulse
+	pulsed    time.Time // last own pulse to it
+	pulse     *pulse
+	heartbeat uint64       // number of the last heartbeat that others have passed on
+	ahead     int          // ticks for which it has had records that this node lacks
+	gauge     *gauge.Gauge // of its endpoint's current start
+	start     string       // the start that gauge measures
 }
 
 // reachable reports whether the node's endpoint can be called; interval is the time between its pulses.
@@ -43,7 +43,7 @@
 		return false, false
 	}
 	if old != nil && u.Incarnation != old.Incarnation {
-		p.signed = 0
+		p.heartbeat = 0
 	}
 	p.pulse, p.heard = u, now
 	if u.Endpoint != nil && (p.gauge == nil || p.start != u.Endpoint.Instance()) {
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -77,7 +77,7 @@
 	return pulseInterval
 }
 
-// interval returns the longest time between two signs of life of the peer.
+// interval returns the longest time between two heartbeats of the peer.
 func (g *Gossiper) interval(p *peer) time.Duration {
 	if p.pulse != nil && p.pulse.Region != g.config.Region {
 		return farFactor * pulseInterval
@@ -88,7 +88,7 @@
 func (g *Gossiper) tick() {
 	now := g.now()
 	g.pulse(false)
-	g.beat(now)
+	g.sendHeartbeats(now)
 	g.lag()
 	linked := 0
 	for address, p := range g.peers {
