--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -73,6 +73,7 @@
 		return fault.Wrap(fault.Invalid, err, "malformed call", "check that both nodes run compatible releases")
 	}
 	delay := l.transitDelay(c)
+	l.logHeldUp(c, delay)
 	if left := c.TimeLeft(); left > 0 {
 		g := c.Fields()
 		g.TimeLeft = max(1, left-delay.Milliseconds())
@@ -139,6 +140,16 @@
 	return transit - l.minTransit
 }
 
+// logHeldUp logs a call that took long from its sender to here, by the quickest call of the link or by the link's age.
+func (l *link) logHeldUp(c call.Call, delay time.Duration) {
+	age := time.Since(l.createdAt)
+	if c.SentAt() == 0 || delay <= maxTransitDelay && age-time.Duration(c.SentAt())*time.Millisecond <= maxTransitDelay {
+		return
+	}
+	l.owner.log.Info("call held up", "id", c.RequestID(), "peer", l.peer.address, "sent", c.SentAt(), "age", age.Milliseconds(),
+		"delay", delay.Milliseconds(), "left", c.TimeLeft())
+}
+
 // withTimeLeft returns a context with a timeout of leftMs milliseconds, or without one if leftMs is not positive.
 func withTimeLeft(ctx context.Context, leftMs int64) (context.Context, context.CancelFunc) {
 	if leftMs > 0 {
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -154,7 +154,7 @@
 	}
 	runs.Inc(1)
 	a := b.exchanger.Exchange(ctx, c)
-	r.finish(c, b, a)
+	r.finish(c, b, a, wait)
 	f := a.Fields()
 	f.Outstanding, f.Slots, f.ServiceTimeRatio = b.slotter.Outstanding(), b.slotter.Slots(), b.ratioPerMille.Load()
 	return answer.New(f)
@@ -169,7 +169,8 @@
 	return b.slotter.Outstanding(), b.ratioPerMille.Load()
 }
 
-func (r *Runner) finish(c call.Call, b *backend, a answer.Answer) {
+// finish records the answer to a call that waited for its slot.
+func (r *Runner) finish(c call.Call, b *backend, a answer.Answer, wait time.Duration) {
 	spent := time.Duration(a.ServiceTime()) * time.Microsecond
 	if a.Ran() == answer.No {
 		spent = 0
@@ -191,7 +192,7 @@
 	}
 	if a.Reason() != "" {
 		r.log.Warn("call failed at the upstream", "id", c.RequestID(), "instance", b.instance, "reason", a.Reason(),
-			"ran", a.Ran(), "took", spent.Milliseconds(), "left", c.TimeLeft())
+			"ran", a.Ran(), "waited", wait.Milliseconds(), "took", spent.Milliseconds(), "left", c.TimeLeft())
 	}
 }
 
