--- a/mesh/answer/answer.go
+++ b/mesh/answer/answer.go
@@ -36,6 +36,7 @@
 	RetryAfter       int64         `cbor:"9,keyasint,omitempty"`  // milliseconds until a refused call may get a slot
 	ServiceTime      int64         `cbor:"10,keyasint,omitempty"` // microseconds in the upstream
 	ServiceTimeRatio int64         `cbor:"11,keyasint,omitempty"` // service time / expected service time, in thousandths
+	SentAt           int64         `cbor:"12,keyasint,omitempty"` // milliseconds since the link's start, by the sender's clock
 }
 
 // New returns an answer with the fields, whose slices must not be changed afterwards.
@@ -84,5 +85,8 @@
 // unknown.
 func (a Answer) ServiceTimeRatio() int64 { return a.f.ServiceTimeRatio }
 
+// SentAt returns when the answer was sent, in milliseconds since the link's start by the sender's clock, or 0 if unknown.
+func (a Answer) SentAt() int64 { return a.f.SentAt }
+
 // Fields returns a copy of the values, from which a modified answer can be built.
 func (a Answer) Fields() Fields { return a.f }
--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -44,7 +44,7 @@
 	MaxWait             int64       `cbor:"21,keyasint,omitempty"` // wait limit for a slot, in milliseconds
 	LatestStart         int64       `cbor:"22,keyasint,omitempty"` // milliseconds until the latest start, may be negative
 	ExpectedServiceTime int64       `cbor:"23,keyasint,omitempty"` // of such calls in an upstream, in microseconds
-	SentAt              int64       `cbor:"24,keyasint,omitempty"` // milliseconds since the link's start, at the sender
+	SentAt              int64       `cbor:"24,keyasint,omitempty"` // milliseconds since the link's start, by the receiver's clock
 }
 
 // New returns a call with the fields, whose slices must not be changed afterwards.
@@ -128,7 +128,8 @@
 // ExpectedServiceTime returns the expected service time of such calls, in microseconds, or 0 if unknown.
 func (c Call) ExpectedServiceTime() int64 { return c.f.ExpectedServiceTime }
 
-// SentAt returns when the call was written, in milliseconds since the link's start by the sender's clock.
+// SentAt returns a time before which the call was not sent, in milliseconds since the link's start by the receiver's
+// clock, or 0 if unknown.
 func (c Call) SentAt() int64 { return c.f.SentAt }
 
 // Fields returns a copy of the values, from which a modified call can be built.
--- a/mesh/linker/call.go
+++ b/mesh/linker/call.go
@@ -142,8 +142,7 @@
 		// Zero would mean no deadline.
 		f.TimeLeft = max(1, time.Until(deadline).Milliseconds())
 	}
-	// Zero would mean that the sender does not report it.
-	f.SentAt = max(1, time.Since(l.createdAt).Milliseconds())
+	f.SentAt = l.timekeeper.PeerStamp(time.Now())
 	c = call.New(f)
 	buffer := newFrameBuffer(len(c.Body()))
 	if err := appendFrame(buffer, t, l.generation, id, c); err != nil {
--- a/mesh/linker/connect.go
+++ b/mesh/linker/connect.go
@@ -43,7 +43,7 @@
 		c.Close()
 		return nil, err
 	}
-	k := newLink(l, p, c, purpose, true, remote.Generation, remote.Region)
+	k := newLink(l, p, c, purpose, true, remote.Generation, remote.Region, time.Now())
 	l.links.Store(k, struct{}{})
 	p.add(k)
 	if l.rejectOutbound.Load() {
@@ -77,7 +77,7 @@
 	started := l.tasks.start(func() {
 		defer close(done)
 		stop := context.AfterFunc(l.ctx, func() { c.Close() })
-		remote, generation, err := acceptHandshake(c, l.LinkToken, l.node, l.region)
+		remote, generation, helloSentAt, err := acceptHandshake(c, l.LinkToken, l.node, l.region)
 		stop()
 		if err != nil {
 			linksBroken.Inc(1)
@@ -87,7 +87,7 @@
 			return
 		}
 		p := l.peer(remote.Node)
-		k := newLink(l, p, c, remote.Purpose, false, generation, remote.Region)
+		k := newLink(l, p, c, remote.Purpose, false, generation, remote.Region, helloSentAt)
 		l.links.Store(k, struct{}{})
 		p.add(k)
 		if l.rejectInbound.Load() {
--- a/mesh/linker/heldup_test.go
+++ b/mesh/linker/heldup_test.go
@@ -54,7 +54,7 @@
 // TestHeldUpCalls guards against GONE: calls that run although their callers left while the path between two nodes was
 // silent. Each case stalls the path, and a call is sent meanwhile.
 func TestHeldUpCalls(t *testing.T) {
-	const stall, patience = 2 * maxTransitDelay, time.Minute
+	const stall, patience = 2 * maxTransit, time.Minute
 	offered := strings.Repeat("b", offerMinBytes) // small enough for one piece
 	cases := []struct {
 		name    string
@@ -138,7 +138,7 @@
 		ran, ok := runs.find("held up")
 		fmt.Fprintf(&out, "%-44s ran %v", c.name, ok)
 		if ok {
-			fmt.Fprintf(&out, ", delay taken off the time left: %v", time.Duration(ran.TimeLeft())*time.Millisecond <= patience-maxTransitDelay)
+			fmt.Fprintf(&out, ", delay taken off the time left: %v", time.Duration(ran.TimeLeft())*time.Millisecond <= patience-maxTransit)
 		}
 		out.WriteString("\n")
 	}
--- a/mesh/linker/hello.go
+++ b/mesh/linker/hello.go
@@ -101,30 +101,30 @@
 	return remote, sendHandshake(c, typeProof, remote.Generation, proof(token, "dialer", local, remote))
 }
 
-// acceptHandshake performs the acceptor's side of the handshake and returns the dialer's hello and the new link's
-// generation.
-func acceptHandshake(c *websocket.Conn, token, node, region string) (hello, uint64, error) {
-	var remote hello
+// acceptHandshake performs the acceptor's side of the handshake. It returns the dialer's hello, the new link's
+// generation, and when its own hello was sent: the dialer's clock of the link starts when it has received that.
+func acceptHandshake(c *websocket.Conn, token, node, region string) (remote hello, generation uint64, helloSentAt time.Time, err error) {
 	if err := receiveHandshake(c, typeHello, 0, &remote); err != nil {
-		return hello{}, 0, err
+		return hello{}, 0, helloSentAt, err
 	}
 	if len(remote.Nonce) != nonceSize || remote.Node == "" || (remote.Purpose != control && !remote.Purpose.carriesCalls()) {
-		return hello{}, 0, malformed("incomplete hello")
+		return hello{}, 0, helloSentAt, malformed("incomplete hello")
 	}
 	local := newHello(node, region, remote.Purpose)
 	local.Generation = newGeneration()
 	local.Proof = proof(token, "acceptor", remote, local)
+	helloSentAt = time.Now()
 	if err := sendHandshake(c, typeHello, 0, local); err != nil {
-		return hello{}, 0, err
+		return hello{}, 0, helloSentAt, err
 	}
 	var got []byte
 	if err := receiveHandshake(c, typeProof, local.Generation, &got); err != nil {
-		return hello{}, 0, err
+		return hello{}, 0, helloSentAt, err
 	}
 	if !hmac.Equal(got, proof(token, "dialer", remote, local)) {
-		return hello{}, 0, wrongToken()
+		return hello{}, 0, helloSentAt, wrongToken()
 	}
-	return remote, local.Generation, nil
+	return remote, local.Generation, helloSentAt, nil
 }
 
 func sendHandshake(c *websocket.Conn, t frameType, generation uint64, body any) error {
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -12,6 +12,7 @@
 	"github.com/fasthttp/websocket"
 
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/timekeeper"
 )
 
 const (
@@ -42,6 +43,7 @@
 	buffer    *bytes.Buffer // the pooled buffer of data, which the writer releases, or nil
 	call      *pendingCall  // the call that the frame carries, or nil
 	endsCalls bool          // set on typeClosed, after which no call may be written
+	ping      bool          // data is the payload of a WebSocket ping instead of a frame
 }
 
 // release returns the buffer to the pool; the writer calls it when it no longer needs data.
@@ -71,11 +73,11 @@
 	inboundCalls sync.Map     // uint64 -> *inboundCall
 	handlers     *group
 
-	createdAt       time.Time     // when this end of the link was created; call.SentAt counts from it
-	minTransit      time.Duration // shortest transit, plus the difference of both ends' createdAt; used by the reader only
-	minTransitKnown bool
-	lastReceived    atomic.Int64 // Unix nanoseconds
-	pingedAt        time.Time    // when the unanswered ping was sent, or zero; used by the writer only
+	timekeeper   *timekeeper.Timekeeper
+	roundTrips   sync.Map      // uint64 -> chan struct{}, closed when the pong with that number arrives
+	roundTripIDs atomic.Uint64 // the last number in roundTrips
+	lastReceived atomic.Int64  // Unix nanoseconds
+	pingedAt     time.Time     // when the unanswered ping was sent, or zero; used by the writer only
 
 	drain  chan struct{} // asks run for an orderly close
 	acked  chan struct{} // signalled when the peer has confirmed that it sends no more calls
@@ -84,7 +86,8 @@
 	ended  chan struct{} // closed after the reader and the writer ended
 }
 
-func newLink(owner *Linker, p *peer, c *websocket.Conn, purpose purpose, dialed bool, generation uint64, region string) *link {
+// newLink returns one end of a link whose clock starts at start; see timekeeper.
+func newLink(owner *Linker, p *peer, c *websocket.Conn, purpose purpose, dialed bool, generation uint64, region string, start time.Time) *link {
 	l := &link{
 		owner: owner, peer: p, conn: c, purpose: purpose, dialed: dialed, generation: generation,
 		crossRegion: region != owner.region,
@@ -96,7 +99,7 @@
 		idle:        make(chan struct{}, 1),
 		finish:      make(chan struct{}),
 		ended:       make(chan struct{}),
-		createdAt:   time.Now(),
+		timekeeper:  timekeeper.New(start),
 	}
 	l.markReceived()
 	return l
@@ -299,6 +302,9 @@
 func (l *link) writeFrame(o outgoingFrame) error {
 	defer o.release()
 	data := o.data
+	if o.ping {
+		return l.conn.WriteControl(websocket.PingMessage, data, time.Now().Add(writeTimeout))
+	}
 	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if l.purpose == control {
 		controlBytes.Inc(int64(len(data)))
@@ -355,8 +361,9 @@
 func (l *link) readLoop(ctx context.Context) error {
 	// Removes the handshake's deadline; from here on checkAlive detects a peer that sends nothing.
 	l.conn.SetReadDeadline(time.Time{})
-	l.conn.SetPongHandler(func(string) error {
+	l.conn.SetPongHandler(func(payload string) error {
 		l.markReceived()
+		l.endRoundTrip(payload)
 		return nil
 	})
 	buffer := new(bytes.Buffer)
--- a/mesh/linker/offer.go
+++ b/mesh/linker/offer.go
@@ -107,11 +107,12 @@
 	}
 }
 
-// awaitBody waits for the body of an offered call and returns the call with it; if ok is false, refusal is its answer.
-func (l *link) awaitBody(ctx context.Context, id uint64, c call.Call, h *inboundCall) (withBody call.Call, refusal answer.Answer, ok bool) {
+// awaitBody waits for the body of an offered call and returns the call with it and the time that the grant and the body
+// took; if ok is false, refusal is its answer.
+func (l *link) awaitBody(ctx context.Context, id uint64, c call.Call, h *inboundCall) (withBody call.Call, took time.Duration, refusal answer.Answer, ok bool) {
 	begun := time.Now()
 	if refusal, ok := l.owner.intake.Acquire(ctx, c); !ok {
-		return c, refusal, false
+		return c, 0, refusal, false
 	}
 	granted := time.Now()
 	reservation := time.NewTimer(bodyReservation)
@@ -125,24 +126,20 @@
 	}
 	defer func() { release(0) }()
 	if !l.sendUrgent(typeGrant, id) {
-		return c, answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonBusy}), false
+		return c, 0, answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonBusy}), false
 	}
 	for {
 		select {
 		case body := <-h.body:
-			release(time.Since(granted))
-			f := c.Fields()
+			took = time.Since(granted)
+			release(took)
+			f := subtractTime(c, time.Since(begun)).Fields()
 			f.Body = body
-			waited := time.Since(begun).Milliseconds()
-			f.LatestStart -= waited
-			if f.TimeLeft > 0 {
-				f.TimeLeft = max(1, f.TimeLeft-waited)
-			}
-			return call.New(f), refusal, true
+			return call.New(f), took, refusal, true
 		case <-reservation.C:
 			release(bodyReservation)
 		case <-ctx.Done():
-			return c, answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonBodiless}), false
+			return c, 0, answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reasonBodiless}), false
 		}
 	}
 }
--- a/mesh/linker/offer_test.go
+++ b/mesh/linker/offer_test.go
@@ -151,7 +151,7 @@
 	l := &Linker{intake: &gate{open: make(chan struct{}, 1)}}
 	g := l.intake.(*gate)
 	g.open <- struct{}{}
-	k := newLink(l, nil, nil, bodies, false, 1, "")
+	k := newLink(l, nil, nil, bodies, false, 1, "", time.Now())
 	h := &inboundCall{body: make(chan []byte, 1)}
 	go func() {
 		eventually(t, "the room is given back", func() bool { return g.releases.Load() == 1 })
@@ -159,7 +159,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	c, _, ok := k.awaitBody(ctx, 1, call.New(call.Fields{LatestStart: 5000, TimeLeft: 9000}), h)
+	c, _, _, ok := k.awaitBody(ctx, 1, call.New(call.Fields{LatestStart: 5000, TimeLeft: 9000}), h)
 	if !ok || string(c.Body()) != "late" {
 		t.Fatalf("body %q, %v", c.Body(), ok)
 	}
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -9,7 +9,6 @@
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/fault"
-	"wisteriaspoke.example/mesh/pauser"
 )
 
 // handleFrame processes one frame; an error closes the link.
@@ -57,6 +56,7 @@
 	if err := a.UnmarshalCBOR(f.Body); err != nil {
 		return fault.Wrap(fault.Invalid, err, "malformed answer", "check that both nodes run compatible releases")
 	}
+	l.timekeeper.Observe(a.SentAt(), time.Now())
 	p, ok := l.pendingCalls.LoadAndDelete(f.ID)
 	if !ok {
 		lateAnswers.Inc(1)
@@ -72,13 +72,8 @@
 	if err := c.UnmarshalCBOR(f.Body); err != nil {
 		return fault.Wrap(fault.Invalid, err, "malformed call", "check that both nodes run compatible releases")
 	}
-	delay := l.transitDelay(c)
-	l.logHeldUp(c, delay)
-	if left := c.TimeLeft(); left > 0 {
-		g := c.Fields()
-		g.TimeLeft = max(1, left-delay.Milliseconds())
-		c = call.New(g)
-	}
+	transit := l.timekeeper.Transit(c.SentAt(), time.Now())
+	c = subtractTime(c, transit)
 	if l.owner.runningCalls.Add(1) > int64(l.owner.LinkCalls) {
 		l.owner.runningCalls.Add(-1)
 		callsRefused.Inc(1)
@@ -97,17 +92,17 @@
 		defer l.owner.runningCalls.Add(-1)
 		defer cancel()
 		defer l.inboundCalls.Delete(id)
-		if delay > maxTransitDelay {
-			callsDelayed.Inc(1)
-			pauser.Pause(callCtx, cancelWait)
-		}
 		if offered {
-			withBody, refusal, ok := l.awaitBody(callCtx, id, c, h)
+			withBody, took, refusal, ok := l.awaitBody(callCtx, id, c, h)
 			if !ok {
 				l.reply(ctx, id, refusal)
 				return
 			}
-			c = withBody
+			c, transit = withBody, took
+		}
+		if transit > maxTransit && !l.confirm(callCtx, c, transit) {
+			l.reply(ctx, id, unconfirmed)
+			return
 		}
 		l.reply(ctx, id, l.owner.server.Serve(callCtx, c))
 	})
@@ -118,38 +113,9 @@
 const (
 	reasonBusy     = "busy"     // too many calls of other nodes are running here
 	reasonBodiless = "bodiless" // the body of an offered call did not arrive in time
+	reasonHeldUp   = "heldup"   // the call or its body was held up on its link, and its caller may have left meanwhile
 )
 
-const (
-	// maxTransitDelay is the delay in transit above which a call's caller may have gone meanwhile, with the cancel frame
-	// still behind the call on the same connection.
-	maxTransitDelay = 250 * time.Millisecond
-	// cancelWait is how long such a call waits before it runs, so that the reader can receive the cancel frame.
-	cancelWait = 10 * time.Millisecond
-)
-
-// transitDelay returns how much longer than the quickest call of the link this one took from the sender to here.
-func (l *link) transitDelay(c call.Call) time.Duration {
-	if c.SentAt() == 0 {
-		return 0
-	}
-	transit := time.Since(l.createdAt) - time.Duration(c.SentAt())*time.Millisecond
-	if !l.minTransitKnown || transit < l.minTransit {
-		l.minTransit, l.minTransitKnown = transit, true
-	}
-	return transit - l.minTransit
-}
-
-// logHeldUp logs a call that took long from its sender to here, by the quickest call of the link or by the link's age.
-func (l *link) logHeldUp(c call.Call, delay time.Duration) {
-	age := time.Since(l.createdAt)
-	if c.SentAt() == 0 || delay <= maxTransitDelay && age-time.Duration(c.SentAt())*time.Millisecond <= maxTransitDelay {
-		return
-	}
-	l.owner.log.Info("call held up", "id", c.RequestID(), "peer", l.peer.address, "sent", c.SentAt(), "age", age.Milliseconds(),
-		"delay", delay.Milliseconds(), "left", c.TimeLeft())
-}
-
 // withTimeLeft returns a context with a timeout of leftMs milliseconds, or without one if leftMs is not positive.
 func withTimeLeft(ctx context.Context, leftMs int64) (context.Context, context.CancelFunc) {
 	if leftMs > 0 {
@@ -160,6 +126,9 @@
 
 // reply queues the answer to a call; if ctx ends first, the link is closing and the caller gets a broken link.
 func (l *link) reply(ctx context.Context, id uint64, a answer.Answer) {
+	stamped := a.Fields()
+	stamped.SentAt = l.timekeeper.Stamp(time.Now())
+	a = answer.New(stamped)
 	buffer := newFrameBuffer(len(a.Body()))
 	if err := appendFrame(buffer, typeAnswer, l.generation, id, a); err != nil || buffer.Len() > maxCallBytes {
 		substitute := answer.New(answer.Fields{Status: 502, Ran: answer.Maybe, Reason: "large", Retried: a.Retried()})
