--- a/mesh/dispatcher/client.go
+++ b/mesh/dispatcher/client.go
@@ -93,6 +93,9 @@
 	// Only a streamed response shows how its body is delimited; fasthttp sets the length of a buffered one afterwards.
 	resp.StreamBody = true
 	for {
+		if ctx.Err() != nil {
+			return answer.Fields{}, &unsentError{cause: ctx.Err()}
+		}
 		err := c.host.DoDeadline(req, resp, deadline)
 		if err == nil {
 			return decode(resp, cl.Method())
--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -87,6 +87,13 @@
 			return answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: ReasonUnreachable})
 		}
 	}
+	if ctx.Err() != nil {
+		// The caller left during the dial.
+		if !x.putIdle(conn) {
+			conn.Close()
+		}
+		return contextEnded(ctx, answer.No)
+	}
 	start := time.Now()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	a, reusable := x.roundTrip(conn, c, remaining(ctx))
--- a/mesh/exchanger/exchanger_test.go
+++ b/mesh/exchanger/exchanger_test.go
@@ -177,6 +177,29 @@
 	}
 }
 
+// TestCallerLeavesBeforeSend guards against GONE: a request that is written although its caller left while the
+// connection for it was taken or opened.
+func TestCallerLeavesBeforeSend(t *testing.T) {
+	u := newUpstream(t, script{response: wholeResponse, keepOpen: true})
+	x := &Exchanger{Address: u.listener.Addr().String(), Dialect: fakeDialect{}}
+	x.Exchange(context.Background(), request("warm"))
+	<-u.requests
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 100 {
+		if a := x.Exchange(ctx, request("left")); a.Ran() != answer.No || a.Reason() != ReasonCancelled {
+			t.Fatalf("ran %s, reason %s; want no and left", a.Ran(), a.Reason())
+		}
+	}
+	if a := x.Exchange(context.Background(), request("next")); a.Ran() != answer.Yes || x.Opened() != 1 {
+		t.Errorf("ran %s on connection %d; want the first connection to be kept", a.Ran(), x.Opened())
+	}
+	if id := <-u.requests; id != "next" {
+		t.Errorf("the upstream got %q", id)
+	}
+	x.CloseIdleConnections()
+}
+
 // TestEarlyResponse guards against an upstream that answers before it has read the whole body and takes the rest of the
 // body for a request.
 func TestEarlyResponse(t *testing.T) {
--- a/mesh/linker/call.go
+++ b/mesh/linker/call.go
@@ -68,6 +68,9 @@
 		if err != nil {
 			return answer.Answer{}, err
 		}
+		if ctx.Err() != nil {
+			return answer.Answer{}, notRun(ctx.Err(), "the caller left while the connection was chosen")
+		}
 		a, sent, err := k.tryCall(ctx, c)
 		if sent || err != nil {
 			return a, err
--- a/mesh/linker/call_test.go
+++ b/mesh/linker/call_test.go
@@ -122,6 +122,24 @@
 	}
 }
 
+// TestCallerLeavesBeforeSend guards against GONE: a call that is written although its caller has left already.
+func TestCallerLeavesBeforeSend(t *testing.T) {
+	runs := &runLog{}
+	a, b := newNode(t), newNode(t, withServe(runs.Serve))
+	if _, err := a.Call(t.Context(), b.Address(), namedCall("warm", "")); err != nil {
+		t.Fatal(err)
+	}
+	k, _ := a.peer(b.Address()).leastLoaded(calls)
+	before := k.ids.Load()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := a.Call(ctx, b.Address(), namedCall("left", ""))
+	wantKind(t, err, fault.NotRun)
+	if sent := k.ids.Load() - before; sent != 0 {
+		t.Errorf("%d calls were begun on the link", sent)
+	}
+}
+
 // TestLargeBodies guards against bodies so large that the peer would close the link.
 func TestLargeBodies(t *testing.T) {
 	large := strings.Repeat("x", maxCallBytes)
