--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -57,12 +57,22 @@
 	NotRun(status int, h http.Header) (notRun, wrongInstance bool)
 	// Signed reports whether the response has the upstream's signature.
 	Signed(h http.Header) bool
+	// Limit returns the requests a second that the upstream takes from all nodes together, or zero if the response names
+	// no limit. An error means that the value is malformed.
+	Limit(h http.Header) (perSecond float64, err error)
+}
+
+// Observer is told what the upstream's responses state about it; its methods must not block.
+type Observer interface {
+	// LimitStated is called with the result of Dialect.Limit for each response; sentAt is when its request was sent.
+	LimitStated(perSecond float64, err error, sentAt time.Time)
 }
 
 // Exchanger sends calls to one upstream; it is safe for concurrent use.
 type Exchanger struct {
-	Address string  // IP:PORT of the upstream; set before use
-	Dialect Dialect // set before use
+	Address  string   // IP:PORT of the upstream; set before use
+	Dialect  Dialect  // set before use
+	Observer Observer // may be nil; set before use
 
 	idle   atomic.Pointer[idleConnection]
 	opened atomic.Int64
@@ -135,6 +145,7 @@
 type connection struct {
 	net.Conn
 	reader    *bufio.Reader
+	sentAt    time.Time // when the last request was sent
 	expiresAt time.Time // when the upstream may close it if idle
 	idleSince time.Time // when it became idle
 }
@@ -151,7 +162,8 @@
 
 // roundTrip writes the call and reads its response; reusable reports whether the connection can be used again.
 func (x *Exchanger) roundTrip(conn *connection, c call.Call, timeLeft time.Duration) (a answer.Answer, reusable bool) {
-	conn.expiresAt = time.Now().Add(defaultIdleTimeout)
+	conn.sentAt = time.Now()
+	conn.expiresAt = conn.sentAt.Add(defaultIdleTimeout)
 	written := make(chan error, 1)
 	if len(c.Body()) <= maxInlineBodyBytes {
 		written <- x.writeRequest(conn, c, timeLeft)
@@ -221,6 +233,10 @@
 	conn.expiresAt = time.Now().Add(idleTimeout(r.Header.Get("Keep-Alive")))
 	notRun, wrongInstance := x.Dialect.NotRun(r.StatusCode, r.Header)
 	responseID := x.Dialect.ResponseRequestID(r.Header)
+	if x.Observer != nil && responseID == c.RequestID() {
+		limit, err := x.Dialect.Limit(r.Header)
+		x.Observer.LimitStated(limit, err, conn.sentAt)
+	}
 	switch {
 	case responseID != "" && responseID != c.RequestID():
 		return invalidResponse(), false, framed
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -48,9 +48,11 @@
 
 // backend holds the connections and slots for one start of the upstream.
 type backend struct {
+	log           *slog.Logger
 	instance      string
 	exchanger     *exchanger.Exchanger
 	slotter       *slotter.Slotter
+	limit         limit
 	ratioPerMille atomic.Int64 // smoothed service time, in thousandths of the expected one
 }
 
@@ -106,11 +108,8 @@
 	b := r.backend.Load()
 	leaving := u.State() == endpoint.Leaving
 	if b == nil || b.instance != a.Instance || b.exchanger.Address != a.Address || b.slotter.Closed() && !leaving {
-		next := &backend{
-			instance:  a.Instance,
-			exchanger: &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect},
-			slotter:   slotter.New(a.Slots),
-		}
+		next := &backend{log: r.log, instance: a.Instance, slotter: slotter.New(a.Slots)}
+		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next}
 		next.ratioPerMille.Store(initialPerMille)
 		r.backend.Store(next)
 		if b != nil {
--- a/mesh/runner/runner_test.go
+++ b/mesh/runner/runner_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +31,12 @@
 }
 func (dialect) ResponseRequestID(h http.Header) string        { return h.Get("Id") }
 func (dialect) Signed(http.Header) bool                       { return true }
+func (dialect) Limit(h http.Header) (float64, error) {
+	if h.Get("Limit") == "" {
+		return 0, nil
+	}
+	return strconv.ParseFloat(h.Get("Limit"), 64)
+}
 func (dialect) NotRun(status int, _ http.Header) (bool, bool) { return status == 421, status == 421 }
 
 // TestRefusalsReachNoUpstream guards against calls that are sent to an upstream which must not get them. Every refusal
