--- /dev/null
+++ b/mesh/pacer/doc.go
@@ -0,0 +1,2 @@
+// Package pacer admits requests at no more than a given rate.
+package pacer
--- a/mesh/runner/limit.go
+++ b/mesh/runner/limit.go
@@ -6,11 +6,17 @@
 	"time"
 )
 
-// limitChange is the relative change of a limit above which it is logged.
-const limitChange = 0.2
+const (
+	// unprovenSlots bounds the calls at a time until the first response: a node that has started again does not know
+	// which limit the upstream has named before.
+	unprovenSlots = 4
+	// limitChange is the relative change of a limit above which it is logged.
+	limitChange = 0.2
+)
 
 // limit is the rate limit that the upstream names in its responses, for as long as it does.
 type limit struct {
+	proven    atomic.Bool   // a response has arrived
 	perSecond atomic.Uint64 // float64 bits; 0 without a limit
 	namedAt   atomic.Int64  // Unix nanoseconds at which the limit was last named
 	logged    atomic.Uint64 // float64 bits of the last logged limit
@@ -47,8 +53,20 @@
 			b.log.Warn("upstream limit ignored", "instance", b.instance, "error", err)
 		}
 	case b.limit.update(perSecond, sentAt, time.Now()):
+		b.slotter.SetRate(perSecond)
 		if b.limit.worthLogging(perSecond) {
 			b.log.Info("upstream limit changed", "instance", b.instance, "limit", perSecond)
 		}
 	}
+	if b.limit.proven.CompareAndSwap(false, true) {
+		b.slotter.Resize(int(b.slots.Load()))
+	}
+}
+
+// resize sets the slots that the upstream announces.
+func (b *backend) resize(slots int) {
+	b.slots.Store(int32(slots))
+	if b.limit.proven.Load() {
+		b.slotter.Resize(slots)
+	}
 }
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -52,6 +52,7 @@
 	instance      string
 	exchanger     *exchanger.Exchanger
 	slotter       *slotter.Slotter
+	slots         atomic.Int32 // announced by the upstream
 	limit         limit
 	ratioPerMille atomic.Int64 // smoothed service time, in thousandths of the expected one
 }
@@ -108,8 +109,9 @@
 	b := r.backend.Load()
 	leaving := u.State() == endpoint.Leaving
 	if b == nil || b.instance != a.Instance || b.exchanger.Address != a.Address || b.slotter.Closed() && !leaving {
-		next := &backend{log: r.log, instance: a.Instance, slotter: slotter.New(a.Slots)}
+		next := &backend{log: r.log, instance: a.Instance, slotter: slotter.New(min(a.Slots, unprovenSlots))}
 		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next}
+		next.slots.Store(int32(a.Slots))
 		next.ratioPerMille.Store(initialPerMille)
 		r.backend.Store(next)
 		if b != nil {
@@ -118,8 +120,8 @@
 		}
 		b = next
 	}
-	if b.slotter.Slots() != a.Slots {
-		b.slotter.Resize(a.Slots)
+	if b.slots.Load() != int32(a.Slots) {
+		b.resize(a.Slots)
 	}
 	if leaving {
 		b.slotter.Close()
--- a/mesh/slotter/slotter.go
+++ b/mesh/slotter/slotter.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"wisteriaspoke.example/mesh/pacer"
 )
 
 // Refusal is the reason why a call got no slot; no byte of the call was sent to the upstream.
@@ -15,6 +17,7 @@
 	Full            Refusal = "full"    // the wait would exceed MaxWait, or end after LatestStart or the deadline
 	DeadlineTooSoon Refusal = "late"    // the call could not end before its deadline
 	Leaving         Refusal = "leaving" // the upstream accepts no new calls
+	OverRate        Refusal = "rate"    // the rate limit would make the call wait as long as for Full
 )
 
 const (
@@ -34,16 +37,19 @@
 	MaxWait     time.Duration // longest wait for a slot; 0 if only Deadline and LatestStart limit it
 }
 
-// Slotter limits the calls that run at once. A call that finds a free slot and an empty queue takes no lock.
+// Slotter limits the calls that run at once and the rate at which they start. A call that finds a free slot and an empty
+// queue takes no lock.
 type Slotter struct {
+	pacer           pacer.Pacer
 	slots           atomic.Int32
 	running         atomic.Int32
 	waiting         atomic.Int32
 	closed          atomic.Bool
 	meanServiceTime atomic.Int64 // nanoseconds
 
-	mutex sync.Mutex // guards queue, for calls that have to wait
+	mutex sync.Mutex // guards the following, for calls that have to wait
 	queue queue
+	wake  *time.Timer // grants slots when the rate admits the next call; nil before the first use
 }
 
 // New returns a slotter of at least one slot.
@@ -71,6 +77,17 @@
 	s.mutex.Unlock()
 }
 
+// Limited reports whether the rate at which calls start is limited.
+func (s *Slotter) Limited() bool { return s.pacer.Limited() }
+
+// SetRate limits the calls that start in a second, or ends the limit if perSecond is zero.
+func (s *Slotter) SetRate(perSecond float64) {
+	s.pacer.SetRate(perSecond, time.Now())
+	s.mutex.Lock()
+	s.grantSlots()
+	s.mutex.Unlock()
+}
+
 // Acquire waits for a slot and returns the empty Refusal once the call has one; Release must then be called. With a
 // refusal it also returns the expected wait for a slot.
 func (s *Slotter) Acquire(ctx context.Context, r Request) (Refusal, time.Duration) {
@@ -96,6 +113,7 @@
 	return Leaving, 0
 }
 
+// tryTakeSlot takes a slot if one is free and the rate admits a call.
 func (s *Slotter) tryTakeSlot() bool {
 	for {
 		n := s.running.Load()
@@ -103,19 +121,31 @@
 			return false
 		}
 		if s.running.CompareAndSwap(n, n+1) {
-			return true
+			break
 		}
 	}
+	if s.pacer.Take(time.Now()) {
+		return true
+	}
+	s.running.Add(-1)
+	return false
 }
 
 func (s *Slotter) wait(ctx context.Context, r Request, now time.Time) (Refusal, time.Duration) {
 	w := &waiter{priority: r.Priority, latestStart: r.LatestStart, result: make(chan Refusal, 1)}
 	s.mutex.Lock()
 	expected := s.queue.expectedWait(w, s.MeanServiceTime(), s.Slots())
+	full := Full
+	if paced := s.pacer.Wait(s.queue.position(w), now); paced > expected {
+		expected, full = paced, OverRate
+	}
 	if refusal := refuseEarly(r, now, expected, s.MeanServiceTime()); refusal != "" || s.closed.Load() {
 		s.mutex.Unlock()
-		if refusal == "" {
+		switch refusal {
+		case "":
 			refusal = Leaving
+		case Full:
+			refusal = full
 		}
 		return refusal, expected
 	}
@@ -139,7 +169,7 @@
 	}
 	s.mutex.Unlock()
 	if removed {
-		return Full, s.MeanServiceTime()
+		return full, max(s.MeanServiceTime(), s.pacer.Wait(0, time.Now()))
 	}
 	return s.finishWait(<-w.result)
 }
@@ -183,6 +213,26 @@
 		s.waiting.Add(-1)
 		w.result <- ""
 	}
+	if s.queue.length() > 0 {
+		s.wakeWhenAdmitted()
+	}
+}
+
+// wakeWhenAdmitted has slots granted when the rate admits the next call; the caller holds the mutex. Calls that wait for
+// a slot are woken by the release of one.
+func (s *Slotter) wakeWhenAdmitted() {
+	wait := s.pacer.Wait(0, time.Now())
+	switch {
+	case wait <= 0:
+	case s.wake == nil:
+		s.wake = time.AfterFunc(wait, func() {
+			s.mutex.Lock()
+			s.grantSlots()
+			s.mutex.Unlock()
+		})
+	default:
+		s.wake.Reset(wait)
+	}
 }
 
 // Release returns a slot; took is the call's service time, or zero if the call must not count in the mean.
@@ -214,5 +264,8 @@
 		s.waiting.Add(-1)
 		s.queue.pop().result <- Leaving
 	}
+	if s.wake != nil {
+		s.wake.Stop()
+	}
 	s.mutex.Unlock()
 }
--- a/mesh/slotter/slotter_test.go
+++ b/mesh/slotter/slotter_test.go
@@ -25,30 +25,35 @@
 // simulate runs a load against a slotter in virtual time and returns the outcome of each call, in order of arrival.
 func simulate(t *testing.T, s *Slotter, load []arrival) string {
 	t.Helper()
+	var lines string
+	synctest.Test(t, func(*testing.T) { lines = run(s, load) })
+	return lines
+}
+
+// run runs a load in the virtual time of the caller's bubble.
+func run(s *Slotter, load []arrival) string {
 	lines := make([]string, len(load))
-	synctest.Test(t, func(t *testing.T) {
-		ends := make(chan struct{}, len(load))
-		began := time.Now()
-		for i, a := range load {
-			go func() {
-				defer func() { ends <- struct{}{} }()
-				time.Sleep(a.at)
-				now := time.Now()
-				refusal, wait := s.Acquire(context.Background(), Request{Priority: a.priority, Deadline: now.Add(a.deadline), LatestStart: now.Add(a.latestStart), MaxWait: a.maxWait})
-				lines[i] = fmt.Sprintf("%-8s at %4v: ", a.name, a.at.Milliseconds())
-				if refusal != "" {
-					lines[i] += fmt.Sprintf("refused %s after %d ms, room in %d ms", refusal, time.Since(now).Milliseconds(), wait.Milliseconds())
-					return
-				}
-				lines[i] += fmt.Sprintf("starts at %d", time.Since(began).Milliseconds())
-				time.Sleep(a.serviceTime)
-				s.Release(a.serviceTime)
-			}()
-		}
-		for range load {
-			<-ends
-		}
-	})
+	ends := make(chan struct{}, len(load))
+	began := time.Now()
+	for i, a := range load {
+		go func() {
+			defer func() { ends <- struct{}{} }()
+			time.Sleep(a.at)
+			now := time.Now()
+			refusal, wait := s.Acquire(context.Background(), Request{Priority: a.priority, Deadline: now.Add(a.deadline), LatestStart: now.Add(a.latestStart), MaxWait: a.maxWait})
+			lines[i] = fmt.Sprintf("%-8s at %4v: ", a.name, a.at.Milliseconds())
+			if refusal != "" {
+				lines[i] += fmt.Sprintf("refused %s after %d ms, room in %d ms", refusal, time.Since(now).Milliseconds(), wait.Milliseconds())
+				return
+			}
+			lines[i] += fmt.Sprintf("starts at %d", time.Since(began).Milliseconds())
+			time.Sleep(a.serviceTime)
+			s.Release(a.serviceTime)
+		}()
+	}
+	for range load {
+		<-ends
+	}
 	return strings.Join(lines, "\n") + "\n"
 }
 
@@ -91,6 +96,33 @@
 	}
 }
 
+// TestRate guards against LIMIT: calls that start at a higher rate than the upstream has named because slots are free, or
+// that take their turn before more urgent ones.
+func TestRate(t *testing.T) {
+	const perSecond = 10
+	var load []arrival
+	for i := range 24 {
+		a := arrival{
+			name: fmt.Sprintf("read-%d", i), at: time.Duration(i) * 27 * time.Millisecond, priority: 2, deadline: time.Second,
+			latestStart: 515 * time.Millisecond, serviceTime: 30 * time.Millisecond,
+		}
+		if i%6 == 5 {
+			a.name, a.priority = fmt.Sprintf("book-%d", i), 1
+		}
+		load = append(load, a)
+	}
+	var out strings.Builder
+	synctest.Test(t, func(t *testing.T) {
+		s := New(12)
+		s.SetRate(perSecond)
+		out.WriteString(run(s, load))
+		out.WriteString("the limit is lifted\n")
+		s.SetRate(0)
+		out.WriteString(run(s, load[:4]))
+	})
+	goldie.New(t).Assert(t, "rate", []byte(out.String()))
+}
+
 // TestClose guards against calls that get a slot after Close, and against waiting calls that Close doesn't end.
 func TestClose(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
