--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/target"
 )
 
@@ -24,6 +25,8 @@
 	ejectedCost = time.Minute
 	// jitterPerMille bounds the random addition to a score, so that nodes with the same data choose different endpoints.
 	jitterPerMille = 60
+	// minCapacity is the lower bound of the capacity of an endpoint with a low rate limit.
+	minCapacity = 0.1
 	// minMaxWait is the lower bound of Choice.MaxWait, so that a slot which is about to be released is used.
 	minMaxWait = 10 * time.Millisecond
 )
@@ -100,7 +103,7 @@
 	for _, t := range in.Targets {
 		_, othersCalls, weight := t.Gauge().Load(in.Now)
 		used += weight * othersCalls
-		slots += weight * float64(max(1, t.Endpoint().Slots()))
+		slots += weight * capacity(t.Endpoint(), serviceTime(t, in))
 	}
 	if slots == 0 {
 		return 0
@@ -108,18 +111,34 @@
 	return used / slots
 }
 
+// serviceTime returns the expected service time of the call at the endpoint.
+func serviceTime(t *target.Target, in Input) time.Duration {
+	service := time.Duration(float64(in.ExpectedServiceTime) * t.Gauge().ServiceTimeRatio())
+	if t.Endpoint().WarmupEnd().After(in.Now) {
+		service = time.Duration(float64(service) * warmupFactor)
+	}
+	return service
+}
+
+// capacity returns how many calls the endpoint has in progress when its slots are in use or its rate limit is reached:
+// by Little's law, the rate times the service time.
+func capacity(e endpoint.Endpoint, service time.Duration) float64 {
+	slots := float64(max(1, e.Slots()))
+	if e.Limit() <= 0 {
+		return slots
+	}
+	return min(slots, max(minCapacity, e.Limit()*service.Seconds()))
+}
+
 // scoreTarget returns the score and the expected wait for a slot that it includes; utilisation is assumed where the
 // endpoint's load report is old or missing.
 func scoreTarget(t *target.Target, in Input, utilisation float64) (score, wait time.Duration) {
 	g, e := t.Gauge(), t.Endpoint()
-	service := time.Duration(float64(in.ExpectedServiceTime) * g.ServiceTimeRatio())
-	if e.WarmupEnd().After(in.Now) {
-		service = time.Duration(float64(service) * warmupFactor)
-	}
+	service := serviceTime(t, in)
+	slots := capacity(e, service)
 	if age := g.MeanAge(in.Now); age > service {
 		service = time.Duration(float64(age) * meanAgeFactor)
 	}
-	slots := float64(max(1, e.Slots()))
 	own, othersCalls, weight := g.Load(in.Now)
 	load := own + weight*othersCalls + (1-weight)*utilisation*slots
 	fullness := min(1, load/slots)
--- a/mesh/chooser/chooser_test.go
+++ b/mesh/chooser/chooser_test.go
@@ -25,11 +25,12 @@
 	failures         int
 	backoff          bool
 	warmingUp        bool
+	limit            float64 // calls a second that the upstream takes
 }
 
 func (f fixture) target() *target.Target {
 	centre, _, _ := strings.Cut(f.name, "-")
-	fields := endpoint.Fields{Address: f.name, Service: "s", Version: "v1", DataCentre: centre, Region: centre[:1], Slots: 10, State: endpoint.Ready}
+	fields := endpoint.Fields{Limit: f.limit, Address: f.name, Service: "s", Version: "v1", DataCentre: centre, Region: centre[:1], Slots: 10, State: endpoint.Ready}
 	if f.warmingUp {
 		fields.WarmupEnd = now.Add(time.Second)
 	}
@@ -77,6 +78,10 @@
 		{"ejected-endpoint", false, []fixture{{name: "a1-x", failures: 6}, {name: "b1-x", otherCalls: 20}}},
 		{"in-backoff", false, []fixture{{name: "a1-x", backoff: true}, {name: "a2-x"}}},
 		{"warming-up", false, []fixture{{name: "a1-x", warmingUp: true}, {name: "a2-x"}}},
+		{"limit-with-room", false, []fixture{{name: "a1-x", limit: 50, otherCalls: 2}, {name: "a2-x"}}},
+		{"limit-reached", false, []fixture{{name: "a1-x", limit: 20, otherCalls: 2}, {name: "a2-x", otherCalls: 2}}},
+		{"low-limit", false, []fixture{{name: "a1-own", limit: 2}, {name: "a1-x"}, {name: "b1-x"}}},
+		{"all-limited", false, []fixture{{name: "a1-x", limit: 20, otherCalls: 4}, {name: "a2-x", limit: 20, otherCalls: 1}, {name: "b1-x", limit: 20}}},
 		{"single-endpoint", false, []fixture{{name: "b1-x", otherCalls: 50}}},
 		{"no-endpoints", false, nil},
 	}
--- a/mesh/endpoint/endpoint.go
+++ b/mesh/endpoint/endpoint.go
@@ -35,6 +35,8 @@
 	Joined      int64  `json:"joined" cbor:"9,keyasint"` // milliseconds since 1970
 	Instance    string `json:"instance,omitempty" cbor:"10,keyasint,omitempty"`
 	WarmupEnd   int64  `json:"warm,omitempty" cbor:"11,keyasint,omitempty"` // milliseconds since 1970
+
+	Limit float64 `json:"limit,omitempty" cbor:"12,keyasint,omitempty"` // calls a second
 }
 
 // Fields holds the values of a new Endpoint.
@@ -46,6 +48,7 @@
 	Joined                                        time.Time
 	Instance                                      string    // identifies one start of the upstream
 	WarmupEnd                                     time.Time // when the cold start ends
+	Limit                                         float64   // calls a second from all nodes; 0 without a limit
 }
 
 // New returns an endpoint with the fields.
@@ -53,7 +56,7 @@
 	return Endpoint{fields: wireFormat{
 		Address: f.Address, Service: f.Service, Version: f.Version, DataCentre: f.DataCentre, Region: f.Region,
 		Slots: f.Slots, State: f.State, Incarnation: f.Incarnation, Joined: f.Joined.UnixMilli(), Instance: f.Instance,
-		WarmupEnd: unixMillis(f.WarmupEnd),
+		WarmupEnd: unixMillis(f.WarmupEnd), Limit: f.Limit,
 	}}
 }
 
@@ -109,6 +112,9 @@
 // WarmupEnd returns when the upstream's cold start ends, to the millisecond.
 func (e Endpoint) WarmupEnd() time.Time { return time.UnixMilli(e.fields.WarmupEnd) }
 
+// Limit returns the calls a second that the upstream takes from all nodes together, or 0 if it names no limit.
+func (e Endpoint) Limit() float64 { return e.fields.Limit }
+
 // WithState returns a copy with the state s.
 func (e Endpoint) WithState(s State) Endpoint {
 	e.fields.State = s
--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -45,6 +45,7 @@
 	announcement Announcement
 	state        endpoint.State
 	until        time.Time // end of the cold start, or of the pause of a suspect upstream
+	limit        float64   // calls a second; 0 without a limit
 }
 
 // Announcement returns the upstream's last announcement.
@@ -56,6 +57,21 @@
 // WarmupEnd returns the end of the upstream's cold start.
 func (u *Upstream) WarmupEnd() time.Time { return u.until }
 
+// Limit returns the calls a second that the upstream takes, by its responses, or 0 if it names no limit.
+func (u *Upstream) Limit() float64 { return u.limit }
+
+// withState returns a copy with another state, which until applies to.
+func (u *Upstream) withState(s endpoint.State, until time.Time) *Upstream {
+	next := *u
+	next.state, next.until = s, until
+	return &next
+}
+
+// sameProcess reports whether the announcement is of the upstream's process.
+func (u *Upstream) sameProcess(a Announcement) bool {
+	return u != nil && u.announcement.Instance == a.Instance && u.announcement.StartMillis == a.StartMillis
+}
+
 // instanceRecord holds the latest process of an instance and its last announcement.
 type instanceRecord struct {
 	startMillis int64
@@ -158,7 +174,11 @@
 	if a.Leaving || e.stopping.Load() {
 		state = endpoint.Leaving
 	}
-	e.publish(&Upstream{announcement: a, state: state, until: e.now().Add(a.Warmup)})
+	next := &Upstream{announcement: a, state: state, until: e.now().Add(a.Warmup)}
+	if c := e.current.Load(); c.sameProcess(a) {
+		next.limit = c.limit
+	}
+	e.publish(next)
 	return true
 }
 
@@ -174,8 +194,21 @@
 	r.startMillis = max(r.startMillis, startMillis)
 	e.instances[instance] = r
 	if c := e.current.Load(); c != nil && c.announcement.Instance == instance {
-		e.publish(&Upstream{announcement: c.announcement, state: endpoint.Leaving, until: c.until})
+		e.publish(c.withState(endpoint.Leaving, c.until))
+	}
+}
+
+// SetLimit records the calls a second that the process takes by its responses, or 0 if it names no limit.
+func (e *Enroller) SetLimit(instance string, startMillis int64, perSecond float64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	c := e.current.Load()
+	if !c.sameProcess(Announcement{Instance: instance, StartMillis: startMillis}) {
+		return
 	}
+	next := *c
+	next.limit = perSecond
+	e.publish(&next)
 }
 
 // MarkSuspect marks the instance as suspect after it refused a connection or another instance answered at its address.
@@ -187,7 +220,7 @@
 		return
 	}
 	e.log.Warn("upstream suspected", "instance", instance, "reason", reason)
-	e.publish(&Upstream{announcement: c.announcement, state: endpoint.Suspect, until: e.now().Add(suspectPause)})
+	e.publish(c.withState(endpoint.Suspect, e.now().Add(suspectPause)))
 }
 
 // MayRetry reports whether the upstream is suspect and may get a call again.
@@ -201,7 +234,7 @@
 	defer e.mutex.Unlock()
 	c := e.current.Load()
 	if c != nil && c.announcement.Instance == instance && c.state == endpoint.Suspect {
-		e.publish(&Upstream{announcement: c.announcement, state: endpoint.Ready})
+		e.publish(c.withState(endpoint.Ready, time.Time{}))
 	}
 }
 
@@ -210,12 +243,13 @@
 	old := e.current.Swap(u)
 	if old != nil && old.state == u.state && old.announcement.Instance == u.announcement.Instance &&
 		old.announcement.Service == u.announcement.Service && old.announcement.Slots == u.announcement.Slots &&
-		old.announcement.Version == u.announcement.Version && old.announcement.Address == u.announcement.Address {
+		old.announcement.Version == u.announcement.Version && old.announcement.Address == u.announcement.Address &&
+		old.announcement.StartMillis == u.announcement.StartMillis && old.limit == u.limit {
 		return
 	}
 	e.log.Info("upstream changed", "instance", u.announcement.Instance, "service", u.announcement.Service,
 		"version", u.announcement.Version, "state", u.state, "born", u.announcement.StartMillis,
-		"sequence", u.announcement.Sequence, "slots", u.announcement.Slots)
+		"sequence", u.announcement.Sequence, "slots", u.announcement.Slots, "limit", u.limit)
 	for _, l := range e.listeners {
 		l.UpstreamChanged(u)
 	}
@@ -232,6 +266,6 @@
 	defer e.mutex.Unlock()
 	e.stopping.Store(true)
 	if c := e.current.Load(); c != nil {
-		e.publish(&Upstream{announcement: c.announcement, state: endpoint.Leaving, until: c.until})
+		e.publish(c.withState(endpoint.Leaving, c.until))
 	}
 }
--- a/mesh/enroller/enroller_test.go
+++ b/mesh/enroller/enroller_test.go
@@ -51,12 +51,13 @@
 	var cases []struct {
 		Name  string
 		Steps []struct {
-			Do          string // announce, withdraw, suspect, recover or stop
+			Do          string // announce, withdraw, limit, suspect, recover or stop
 			Instance    string
 			StartMillis int64
 			Sequence    int64
 			Leaving     bool
 			Service     string
+			Limit       float64
 		}
 	}
 	if err := json.Unmarshal(data, &cases); err != nil {
@@ -77,6 +78,8 @@
 				applied = e.Announce(Announcement{Instance: s.Instance, Service: service, StartMillis: s.StartMillis, Sequence: s.Sequence, Leaving: s.Leaving, Slots: 1})
 			case "withdraw":
 				e.Withdraw(s.Instance, s.StartMillis)
+			case "limit":
+				e.SetLimit(s.Instance, s.StartMillis, s.Limit)
 			case "suspect":
 				e.MarkSuspect(s.Instance, "down")
 			case "recover":
@@ -87,6 +90,9 @@
 			state := "none"
 			if u := e.Current(); u != nil {
 				state = fmt.Sprintf("%s of %s, %s", u.Announcement().Instance, e.Service(), u.State())
+				if u.Limit() > 0 {
+					state += fmt.Sprintf(", limit %g", u.Limit())
+				}
 			}
 			fmt.Fprintf(&out, "  %-8s %s start %d sequence %d leaving %-5v applied %-5v -> %s\n", s.Do, s.Instance, s.StartMillis, s.Sequence, s.Leaving, applied, state)
 		}
--- a/mesh/runner/limit.go
+++ b/mesh/runner/limit.go
@@ -10,8 +10,10 @@
 	// unprovenSlots bounds the calls at a time until the first response: a node that has started again does not know
 	// which limit the upstream has named before.
 	unprovenSlots = 4
-	// limitChange is the relative change of a limit above which it is logged.
-	limitChange = 0.2
+	// toldChange is the relative change of a limit above which other nodes are told.
+	toldChange = 0.2
+	// toldInterval is the shortest time between two changes that other nodes are told.
+	toldInterval = 500 * time.Millisecond
 )
 
 // limit is the rate limit that the upstream names in its responses, for as long as it does.
@@ -19,7 +21,8 @@
 	proven    atomic.Bool   // a response has arrived
 	perSecond atomic.Uint64 // float64 bits; 0 without a limit
 	namedAt   atomic.Int64  // Unix nanoseconds at which the limit was last named
-	logged    atomic.Uint64 // float64 bits of the last logged limit
+	told      atomic.Uint64 // float64 bits of the limit that other nodes were told last
+	toldAt    atomic.Int64  // Unix nanoseconds
 	malformed atomic.Bool   // a malformed limit was logged
 }
 
@@ -35,32 +38,38 @@
 	return l.perSecond.Swap(bits) != bits
 }
 
-// worthLogging reports whether the limit differs from the last one for which it returned true by more than limitChange.
-func (l *limit) worthLogging(perSecond float64) bool {
-	last := math.Float64frombits(l.logged.Load())
-	if (last == 0) == (perSecond == 0) && math.Abs(perSecond-last) <= limitChange*last {
-		return false
+// tell returns the limit and whether other nodes must be told: it has changed by more than toldChange, and the last
+// change is older than toldInterval.
+func (l *limit) tell(now time.Time) (perSecond float64, changed bool) {
+	perSecond = math.Float64frombits(l.perSecond.Load())
+	last, at := math.Float64frombits(l.told.Load()), l.toldAt.Load()
+	if (last == 0) == (perSecond == 0) && math.Abs(perSecond-last) <= toldChange*last {
+		return perSecond, false
+	}
+	if now.UnixNano()-at < int64(toldInterval) || !l.toldAt.CompareAndSwap(at, now.UnixNano()) {
+		return perSecond, false
 	}
-	l.logged.Store(math.Float64bits(perSecond))
-	return true
+	l.told.Store(math.Float64bits(perSecond))
+	return perSecond, true
 }
 
 // LimitStated applies the limit that a response names; a malformed one changes nothing.
 func (b *backend) LimitStated(perSecond float64, err error, sentAt time.Time) {
+	now := time.Now()
 	switch {
 	case err != nil:
 		if !b.limit.malformed.Swap(true) {
 			b.log.Warn("upstream limit ignored", "instance", b.instance, "error", err)
 		}
-	case b.limit.update(perSecond, sentAt, time.Now()):
+	case b.limit.update(perSecond, sentAt, now):
 		b.slotter.SetRate(perSecond)
-		if b.limit.worthLogging(perSecond) {
-			b.log.Info("upstream limit changed", "instance", b.instance, "limit", perSecond)
-		}
 	}
 	if b.limit.proven.CompareAndSwap(false, true) {
 		b.slotter.Resize(int(b.slots.Load()))
 	}
+	if current, changed := b.limit.tell(now); changed {
+		b.tracker.SetLimit(b.instance, b.startMillis, current)
+	}
 }
 
 // resize sets the slots that the upstream announces.
--- a/mesh/runner/limit_test.go
+++ b/mesh/runner/limit_test.go
@@ -103,3 +103,25 @@
 	}
 	goldie.New(t).Assert(t, "limits", []byte(out.String()))
 }
+
+// TestLimitTold guards against a message to all nodes for each answer, when a limit changes from answer to answer, and
+// against a limit that other nodes never hear of.
+func TestLimitTold(t *testing.T) {
+	var l limit
+	var out strings.Builder
+	begun := time.Unix(1000, 0)
+	steps := []struct {
+		atMillis, sentMillis int
+		perSecond            float64
+	}{
+		{0, -100, 0}, {100, 0, 20}, {200, 100, 21}, {300, 200, 30}, {400, 300, 20.5}, {700, 600, 12}, {800, 650, 0},
+		{900, 750, 0}, {1200, 1100, 12}, {1300, 1250, 0}, {1700, 1600, 0},
+	}
+	for _, s := range steps {
+		at := begun.Add(time.Duration(s.atMillis) * time.Millisecond)
+		changed := l.update(s.perSecond, begun.Add(time.Duration(s.sentMillis)*time.Millisecond), at)
+		perSecond, told := l.tell(at)
+		fmt.Fprintf(&out, "at %4d ms, names %4g: changed %-5v limit %4g, told %v\n", s.atMillis, s.perSecond, changed, perSecond, told)
+	}
+	goldie.New(t).Assert(t, "told", []byte(out.String()))
+}
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -44,12 +44,16 @@
 	MarkSuspect(instance, reason string)
 	// ClearSuspect records that the instance has answered.
 	ClearSuspect(instance string)
+	// SetLimit records the calls a second that the process takes, or 0 if it names no limit.
+	SetLimit(instance string, startMillis int64, perSecond float64)
 }
 
 // backend holds the connections and slots for one start of the upstream.
 type backend struct {
+	tracker       upstreamTracker
 	log           *slog.Logger
 	instance      string
+	startMillis   int64
 	exchanger     *exchanger.Exchanger
 	slotter       *slotter.Slotter
 	slots         atomic.Int32 // announced by the upstream
@@ -108,8 +112,11 @@
 	a := u.Announcement()
 	b := r.backend.Load()
 	leaving := u.State() == endpoint.Leaving
-	if b == nil || b.instance != a.Instance || b.exchanger.Address != a.Address || b.slotter.Closed() && !leaving {
-		next := &backend{log: r.log, instance: a.Instance, slotter: slotter.New(min(a.Slots, unprovenSlots))}
+	if b == nil || b.instance != a.Instance || b.startMillis != a.StartMillis || b.exchanger.Address != a.Address || b.slotter.Closed() && !leaving {
+		next := &backend{
+			tracker: r.tracker, log: r.log, instance: a.Instance, startMillis: a.StartMillis,
+			slotter: slotter.New(min(a.Slots, unprovenSlots)),
+		}
 		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next}
 		next.slots.Store(int32(a.Slots))
 		next.ratioPerMille.Store(initialPerMille)
--- a/mesh/runner/runner_test.go
+++ b/mesh/runner/runner_test.go
@@ -29,8 +29,8 @@
 func (dialect) SetUpstreamHeaders(h http.Header, c call.Call, _ time.Duration) {
 	h.Set("Id", c.RequestID())
 }
-func (dialect) ResponseRequestID(h http.Header) string        { return h.Get("Id") }
-func (dialect) Signed(http.Header) bool                       { return true }
+func (dialect) ResponseRequestID(h http.Header) string { return h.Get("Id") }
+func (dialect) Signed(http.Header) bool                { return true }
 func (dialect) Limit(h http.Header) (float64, error) {
 	if h.Get("Limit") == "" {
 		return 0, nil
