--- a/mesh/answer/answer.go
+++ b/mesh/answer/answer.go
@@ -36,6 +36,7 @@
 	RetryAfter       int64         `cbor:"9,keyasint,omitempty"`  // milliseconds until a refused call may get a slot
 	ServiceTime      int64         `cbor:"10,keyasint,omitempty"` // microseconds in the upstream
 	ServiceTimeRatio int64         `cbor:"11,keyasint,omitempty"` // service time / expected service time, in thousandths
+	Leaving          bool          `cbor:"13,keyasint,omitempty"` // the upstream has said that it leaves
 	SentAt           int64         `cbor:"12,keyasint,omitempty"` // milliseconds since the link's start, by the sender's clock
 }
 
@@ -85,6 +86,9 @@
 // unknown.
 func (a Answer) ServiceTimeRatio() int64 { return a.f.ServiceTimeRatio }
 
+// Leaving reports whether the upstream has said in a response that it leaves.
+func (a Answer) Leaving() bool { return a.f.Leaving }
+
 // SentAt returns when the answer was sent, in milliseconds since the link's start by the sender's clock, or 0 if unknown.
 func (a Answer) SentAt() int64 { return a.f.SentAt }
 
--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -77,7 +77,7 @@
 	var bestScore, secondScore, bestWait time.Duration
 	utilisation := meanUtilisation(in)
 	for _, t := range in.Targets {
-		if slices.Contains(in.Exclude, t) {
+		if t.Gauge().Leaving() || slices.Contains(in.Exclude, t) {
 			continue
 		}
 		score, wait := scoreTarget(t, in, utilisation)
--- a/mesh/chooser/chooser_test.go
+++ b/mesh/chooser/chooser_test.go
@@ -26,6 +26,7 @@
 	backoff          bool
 	warmingUp        bool
 	limit            float64 // calls a second that the upstream takes
+	leaving          bool    // the upstream has said that it leaves
 }
 
 func (f fixture) target() *target.Target {
@@ -47,6 +48,9 @@
 	if f.serviceTimeRatio > 0 {
 		g.SetServiceTimeRatio(f.serviceTimeRatio)
 	}
+	if f.leaving {
+		g.MarkLeaving()
+	}
 	if f.backoff {
 		g.BackOff(now.Add(time.Second))
 	}
@@ -82,6 +86,7 @@
 		{"limit-reached", false, []fixture{{name: "a1-x", limit: 20, otherCalls: 2}, {name: "a2-x", otherCalls: 2}}},
 		{"low-limit", false, []fixture{{name: "a1-own", limit: 2}, {name: "a1-x"}, {name: "b1-x"}}},
 		{"all-limited", false, []fixture{{name: "a1-x", limit: 20, otherCalls: 4}, {name: "a2-x", limit: 20, otherCalls: 1}, {name: "b1-x", limit: 20}}},
+		{"leaving", false, []fixture{{name: "a1-own", leaving: true}, {name: "b1-x", otherCalls: 50}}},
 		{"single-endpoint", false, []fixture{{name: "b1-x", otherCalls: 50}}},
 		{"no-endpoints", false, nil},
 	}
--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -60,12 +60,16 @@
 	// Limit returns the requests a second that the upstream takes from all nodes together, or zero if the response names
 	// no limit. An error means that the value is malformed.
 	Limit(h http.Header) (perSecond float64, err error)
+	// Leaving reports whether the response says that the upstream leaves.
+	Leaving(h http.Header) bool
 }
 
 // Observer is told what the upstream's responses state about it; its methods must not block.
 type Observer interface {
 	// LimitStated is called with the result of Dialect.Limit for each response; sentAt is when its request was sent.
 	LimitStated(perSecond float64, err error, sentAt time.Time)
+	// LeavingStated is called for each response for which Dialect.Leaving is true.
+	LeavingStated()
 }
 
 // Exchanger sends calls to one upstream; it is safe for concurrent use.
@@ -236,6 +240,9 @@
 	if x.Observer != nil && responseID == c.RequestID() {
 		limit, err := x.Dialect.Limit(r.Header)
 		x.Observer.LimitStated(limit, err, conn.sentAt)
+		if x.Dialect.Leaving(r.Header) {
+			x.Observer.LeavingStated()
+		}
 	}
 	switch {
 	case responseID != "" && responseID != c.RequestID():
--- a/mesh/exchanger/exchanger_test.go
+++ b/mesh/exchanger/exchanger_test.go
@@ -25,6 +25,7 @@
 }
 func (fakeDialect) ResponseRequestID(h http.Header) string { return h.Get("Id") }
 func (fakeDialect) Signed(h http.Header) bool              { return h.Get("Signed") != "" }
+func (fakeDialect) Leaving(http.Header) bool               { return false }
 func (fakeDialect) Limit(http.Header) (float64, error)     { return 0, nil }
 func (fakeDialect) NotRun(status int, h http.Header) (bool, bool) {
 	return h.Get("Not-Run") != "" || status == 421, status == 421
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -298,6 +298,9 @@
 	if a.Slots() > 0 {
 		g.RecordLoad(a.Outstanding(), now)
 	}
+	if a.Leaving() {
+		g.MarkLeaving()
+	}
 	serviceTime := time.Duration(a.ServiceTime()) * time.Microsecond
 	bad := endpointFailed(a)
 	switch {
--- a/mesh/gauge/gauge.go
+++ b/mesh/gauge/gauge.go
@@ -33,6 +33,7 @@
 	backoffUntil        atomic.Int64
 	ejectedUntil        atomic.Int64
 	consecutiveFailures atomic.Int32
+	leaving             atomic.Bool
 
 	serviceTimeRatio atomic.Uint64 // float64 bits; 0 stands for 1
 	failureRate      atomic.Uint64 // float64 bits, at rateUpdatedAt
@@ -97,6 +98,13 @@
 // Ejected reports whether the endpoint should get calls only when there is no other.
 func (g *Gauge) Ejected(now time.Time) bool { return g.sinceBase(now) < g.ejectedUntil.Load() }
 
+// MarkLeaving records that the upstream has said that it leaves. This is final, also when the endpoint's node starts
+// again and does not know of it.
+func (g *Gauge) MarkLeaving() { g.leaving.Store(true) }
+
+// Leaving reports whether the upstream has said that it leaves; it gets no further calls.
+func (g *Gauge) Leaving() bool { return g.leaving.Load() }
+
 // SetServiceTimeRatio records the ratio that the endpoint's own node measured, over the calls of all nodes.
 func (g *Gauge) SetServiceTimeRatio(ratio float64) {
 	g.serviceTimeRatio.Store(math.Float64bits(min(maxServiceTimeRatio, max(minServiceTimeRatio, ratio))))
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -20,6 +20,7 @@
 	ticksAhead      int          // number of ticks in a row at which the peer had newer stored objects than this node
 	gauge           *gauge.Gauge // load of its endpoint's current instance
 	gaugeInstance   string       // the instance that gauge measures
+	gaugeStart      uint64       // the start of that instance's process
 }
 
 // reachable reports whether the peer's endpoint can be called: the peer was heard from recently, and is linked or was
@@ -51,8 +52,8 @@
 		p.relayedSequence = 0
 	}
 	p.status, p.lastHeardAt = u, now
-	if u.Endpoint != nil && (p.gauge == nil || p.gaugeInstance != u.Endpoint.Instance()) {
-		p.gauge, p.gaugeInstance = gauge.New(now), u.Endpoint.Instance()
+	if e := u.Endpoint; e != nil && (p.gauge == nil || p.gaugeInstance != e.Instance() || p.gaugeStart != e.Incarnation()) {
+		p.gauge, p.gaugeInstance, p.gaugeStart = gauge.New(now), e.Instance(), e.Incarnation()
 	}
 	// The ratio is per mille; 0 means that the status contains no measured load.
 	if p.gauge != nil && u.ServiceTimeRatio > 0 {
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -44,6 +44,8 @@
 	MarkSuspect(instance, reason string)
 	// ClearSuspect records that the instance has answered.
 	ClearSuspect(instance string)
+	// Withdraw records that the process leaves, which is final.
+	Withdraw(instance string, startMillis int64)
 	// SetLimit records the calls a second that the process takes, or 0 if it names no limit.
 	SetLimit(instance string, startMillis int64, perSecond float64)
 }
@@ -58,6 +60,7 @@
 	slotter       *slotter.Slotter
 	slots         atomic.Int32 // announced by the upstream
 	limit         limit
+	leaving       atomic.Bool  // the upstream has said in a response that it leaves
 	ratioPerMille atomic.Int64 // smoothed service time, in thousandths of the expected one
 }
 
@@ -165,9 +168,20 @@
 	r.finish(c, b, a, wait)
 	f := a.Fields()
 	f.Outstanding, f.Slots, f.ServiceTimeRatio = b.slotter.Outstanding(), b.slotter.Slots(), b.ratioPerMille.Load()
+	f.Leaving = b.leaving.Load()
 	return answer.New(f)
 }
 
+// LeavingStated refuses all later calls for the upstream and lets other nodes know.
+func (b *backend) LeavingStated() {
+	if b.leaving.Swap(true) {
+		return
+	}
+	b.log.Info("upstream says that it leaves", "instance", b.instance, "born", b.startMillis)
+	b.slotter.Close()
+	b.tracker.Withdraw(b.instance, b.startMillis)
+}
+
 // Load returns the number of calls at the local upstream and its smoothed ratio in thousandths, or zeros without one.
 func (r *Runner) Load() (outstanding int, ratioPerMille int64) {
 	b := r.backend.Load()
--- a/mesh/runner/runner_test.go
+++ b/mesh/runner/runner_test.go
@@ -31,6 +31,7 @@
 }
 func (dialect) ResponseRequestID(h http.Header) string { return h.Get("Id") }
 func (dialect) Signed(http.Header) bool                { return true }
+func (dialect) Leaving(h http.Header) bool             { return h.Get("Leaving") != "" }
 func (dialect) Limit(h http.Header) (float64, error) {
 	if h.Get("Limit") == "" {
 		return 0, nil
