--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -30,8 +30,6 @@
 	// earlyResponseBodyBytes is the body size from which the upstream may refuse or fail a request before it has read the
 	// whole body. The rest then stays in the socket buffer, and the next request would wait behind it.
 	earlyResponseBodyBytes = 4 << 10
-	// maxResponseBytes bounds the body of a response.
-	maxResponseBytes = 16 << 20
 	// maxResponsesRead is the number of responses to other requests after which the connection is abandoned.
 	maxResponsesRead = 4
 )
@@ -78,8 +76,9 @@
 	Dialect  Dialect  // set before use
 	Observer Observer // may be nil; set before use
 
-	idle   atomic.Pointer[idleConnection]
-	opened atomic.Int64
+	idle     atomic.Pointer[idleConnection]
+	opened   atomic.Int64
+	buffered atomic.Int64 // bytes of bodies that are being read, see countedReader
 }
 
 // Opened returns the number of connections opened so far.
@@ -148,10 +147,11 @@
 // connection is an HTTP/1.1 connection, used for one call at a time.
 type connection struct {
 	net.Conn
-	reader    *bufio.Reader
-	sentAt    time.Time // when the last request was sent
-	expiresAt time.Time // when the upstream may close it if idle
-	idleSince time.Time // when it became idle
+	bounds    *boundedReader // of the response that is being read
+	reader    *bufio.Reader  // of bounds
+	sentAt    time.Time      // when the last request was sent
+	expiresAt time.Time      // when the upstream may close it if idle
+	idleSince time.Time      // when it became idle
 }
 
 func (x *Exchanger) dial(ctx context.Context) (*connection, error) {
@@ -161,7 +161,8 @@
 		return nil, err
 	}
 	x.opened.Add(1)
-	return &connection{Conn: c, reader: bufio.NewReader(c)}, nil
+	bounds := &boundedReader{Reader: c}
+	return &connection{Conn: c, bounds: bounds, reader: bufio.NewReader(bounds)}, nil
 }
 
 // roundTrip writes the call and reads its response; reusable reports whether the connection can be used again.
@@ -223,12 +224,12 @@
 
 // readResponse returns one response; stray reports that it answers another request.
 func (x *Exchanger) readResponse(conn *connection, c call.Call) (a answer.Answer, reusable, stray bool) {
+	conn.bounds.left = maxOverheadBytes
 	r, err := http.ReadResponse(conn.reader, &http.Request{Method: c.Method()})
 	if err != nil {
 		return readFailure(err), false, false
 	}
-	defer r.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxResponseBytes+1))
+	body, err := x.readBody(conn, r)
 	if err != nil {
 		return readFailure(err), false, false
 	}
@@ -251,7 +252,7 @@
 		return answer.New(answer.Fields{Status: r.StatusCode, Ran: answer.No, Reason: ReasonWrongInstance}), reusable, false
 	case notRun:
 		return answer.New(answer.Fields{Status: r.StatusCode, Ran: answer.No, Reason: ReasonShed}), reusable, false
-	case responseID == "" || len(body) > maxResponseBytes || r.Header.Get("Content-Encoding") != "":
+	case responseID == "" || r.Header.Get("Content-Encoding") != "":
 		return invalidResponse(), false, false
 	case r.StatusCode < 300 && !x.Dialect.Signed(r.Header):
 		return invalidResponse(), false, false
--- a/mesh/exchanger/exchanger_test.go
+++ b/mesh/exchanger/exchanger_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,6 +131,90 @@
 	goldie.New(t).Assert(t, "responses", []byte(out.String()))
 }
 
+// TestEndlessResponses guards against an upstream that sends bytes without end, in a head or a body: they must not fill the
+// memory, nor hold the call until its deadline.
+func TestEndlessResponses(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: r\r\nSigned: 1\r\n"
+	block := strings.Repeat("x", 4094) + "\r\n"
+	cases := []struct{ name, begin, repeat string }{
+		{"status line", "HTTP/1.1 200 ", strings.TrimSpace(block)},
+		{"header line", head + "X: ", strings.TrimSpace(block)},
+		{"header lines", head, "X: " + block},
+		{"interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"body with a length", head + "Content-Length: 1000000000000\r\n\r\n", block},
+		{"body without a length", head + "\r\n", block},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + block + block[:4096-4094] + "\r\n"},
+		{"small chunks", head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 600)},
+		{"trailers", head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + block},
+		{"failure with a body", "HTTP/1.1 503 No\r\nId: r\r\nNot-Run: 1\r\nContent-Length: 1000000000000\r\n\r\n", block},
+	}
+	// Socket buffers hold what the exchanger has not read.
+	const mostBytes = maxResponseBytes + 2*maxOverheadBytes + 8<<20
+	var out strings.Builder
+	for _, c := range cases {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent := make(chan int64, 1)
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			http.ReadRequest(bufio.NewReader(conn))
+			n := int64(0)
+			for more := c.begin + c.repeat; ; more = c.repeat {
+				written, err := io.WriteString(conn, more)
+				n += int64(written)
+				if err != nil || n > 4*mostBytes {
+					sent <- n
+					return
+				}
+			}
+		}()
+		x := &Exchanger{Address: l.Addr().String(), Dialect: fakeDialect{}}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		a := x.Exchange(ctx, request("r"))
+		cancel()
+		fmt.Fprintf(&out, "%-22s ran %s, reason %s, kept %v, most bytes exceeded %v\n", c.name, a.Ran(), a.Reason(), x.idle.Load() != nil, <-sent > mostBytes)
+		if n := x.buffered.Load(); n != 0 {
+			t.Errorf("%s: %d bytes still count as buffered", c.name, n)
+		}
+		l.Close()
+	}
+	goldie.New(t).Assert(t, "endless", []byte(out.String()))
+}
+
+// TestEndlessOnAllConnections guards against memory that is filled by bodies without end on many connections at once,
+// and against usual responses that fail beside them.
+func TestEndlessOnAllConnections(t *testing.T) {
+	total := &atomic.Int64{}
+	var readers []*countedReader
+	failed := 0
+	for range 12 {
+		r := &countedReader{Reader: strings.NewReader(strings.Repeat("x", maxResponseBytes)), total: total}
+		readers = append(readers, r)
+		if _, err := io.Copy(io.Discard, r); err != nil {
+			failed++
+		}
+	}
+	if failed != 8 || total.Load() > maxBufferedBytes+12*32<<10 {
+		t.Errorf("%d of 12 bodies failed, with %d bytes counted", failed, total.Load())
+	}
+	usual := &countedReader{Reader: strings.NewReader(strings.Repeat("x", freeResponseBytes)), total: total}
+	if _, err := io.Copy(io.Discard, usual); err != nil {
+		t.Errorf("a usual body fails: %v", err)
+	}
+	for _, r := range readers {
+		total.Add(-r.counted())
+	}
+	if total.Load() != 0 {
+		t.Errorf("%d bytes are counted at the end", total.Load())
+	}
+}
+
 // TestUnreachable guards against a refused connection that is reported as a call that may have run.
 func TestUnreachable(t *testing.T) {
 	u := newUpstream(t, script{})
