--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -149,6 +149,7 @@
 	net.Conn
 	bounds    *boundedReader // of the response that is being read
 	reader    *bufio.Reader  // of bounds
+	refused   bool           // the upstream has refused an earlier request
 	sentAt    time.Time      // when the last request was sent
 	expiresAt time.Time      // when the upstream may close it if idle
 	idleSince time.Time      // when it became idle
@@ -248,10 +249,18 @@
 	switch {
 	case responseID != "" && responseID != c.RequestID():
 		return invalidResponse(), false, framed
-	case notRun && wrongInstance:
-		return answer.New(answer.Fields{Status: r.StatusCode, Ran: answer.No, Reason: ReasonWrongInstance}), reusable, false
+	case notRun && responseID == "" && conn.refused:
+		// This may be the earlier refusal once more.
+		return invalidResponse(), false, false
 	case notRun:
-		return answer.New(answer.Fields{Status: r.StatusCode, Ran: answer.No, Reason: ReasonShed}), reusable, false
+		conn.refused = true
+		reason := ReasonShed
+		if wrongInstance {
+			reason = ReasonWrongInstance
+		}
+		// Without an identifier, its repetition could not be told from the refusal of the next request.
+		reusable = reusable && responseID != ""
+		return answer.New(answer.Fields{Status: r.StatusCode, Ran: answer.No, Reason: reason}), reusable, false
 	case responseID == "" || r.Header.Get("Content-Encoding") != "":
 		return invalidResponse(), false, false
 	case r.StatusCode < 300 && !x.Dialect.Signed(r.Header):
--- a/mesh/exchanger/exchanger_test.go
+++ b/mesh/exchanger/exchanger_test.go
@@ -117,6 +117,7 @@
 		{"encoded", script{response: "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: 1\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok"}},
 		{"own failure", script{response: "HTTP/1.1 500 No\r\nId: %s\r\nSigned: 1\r\nContent-Length: 0\r\n\r\n", keepOpen: true}},
 		{"not run", script{response: "HTTP/1.1 503 No\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", keepOpen: true}},
+		{"not run, no identifier", script{response: "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", keepOpen: true}},
 		{"another instance", script{response: "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", keepOpen: true}},
 	}
 	var out strings.Builder
@@ -215,6 +216,69 @@
 	}
 }
 
+// TestRepeatedRefusals guards against REFUSED and TWICE: an upstream that writes an earlier refusal once more on a kept
+// connection, where the response to the next request is due. That request may run, so it must not be reported as not run.
+func TestRepeatedRefusals(t *testing.T) {
+	const (
+		withID    = "HTTP/1.1 503 No\r\nId: one\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		withoutID = "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		moved     = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n"
+	)
+	cases := []struct{ name, refusal, repeated string }{
+		{"with the identifier", withID, withID},
+		{"without an identifier", withoutID, withoutID},
+		{"the identifier is lost", withID, withoutID},
+		{"by another instance", moved, moved},
+	}
+	var out strings.Builder
+	for _, c := range cases {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go refuseAndRepeat(l, c.refusal, c.repeated)
+		x := &Exchanger{Address: l.Addr().String(), Dialect: fakeDialect{}}
+		first := x.Exchange(context.Background(), request("one"))
+		kept := x.idle.Load() != nil
+		second := x.Exchange(context.Background(), request("two"))
+		fmt.Fprintf(&out, "%-24s first ran %s, connection kept %-5v second ran %s\n", c.name, first.Ran(), kept, second.Ran())
+		x.CloseIdleConnections()
+		l.Close()
+	}
+	goldie.New(t).Assert(t, "repeated", []byte(out.String()))
+}
+
+// refuseAndRepeat refuses the request "one"; to the next request on the same connection it writes the refusal once more,
+// and then the response.
+func refuseAndRepeat(l net.Listener, refusal, repeated string) {
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		again := ""
+		for r := bufio.NewReader(conn); ; {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, q.Body); err != nil {
+				return
+			}
+			if id := q.Header.Get("Id"); id == "one" {
+				io.WriteString(conn, refusal)
+				again = repeated
+			} else {
+				io.WriteString(conn, again+strings.ReplaceAll(wholeResponse, "%s", id))
+			}
+		}
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
 // TestUnreachable guards against a refused connection that is reported as a call that may have run.
 func TestUnreachable(t *testing.T) {
 	u := newUpstream(t, script{})
