--- a/mesh/answer/answer.go
+++ b/mesh/answer/answer.go
@@ -36,8 +36,8 @@
 	RetryAfter       int64         `cbor:"9,keyasint,omitempty"`  // milliseconds until a refused call may get a slot
 	ServiceTime      int64         `cbor:"10,keyasint,omitempty"` // microseconds in the upstream
 	ServiceTimeRatio int64         `cbor:"11,keyasint,omitempty"` // service time / expected service time, in thousandths
-	Leaving          bool          `cbor:"13,keyasint,omitempty"` // the upstream has said that it leaves
 	SentAt           int64         `cbor:"12,keyasint,omitempty"` // milliseconds since the link's start, by the sender's clock
+	Leaving          bool          `cbor:"13,keyasint,omitempty"` // the upstream has said that it leaves
 }
 
 // New returns an answer with the fields, whose slices must not be changed afterwards.
--- a/mesh/pacer/pacer.go
+++ b/mesh/pacer/pacer.go
@@ -12,13 +12,18 @@
 	minPerSecond = 1
 )
 
-// Pacer admits requests at a rate, evenly but for bursts of burstTime. The zero value admits all. It is safe for
-// concurrent use and takes no lock.
+// Pacer admits requests at a rate, evenly but for bursts of burstTime. It is safe for concurrent use and takes no lock.
 type Pacer struct {
+	base     time.Time    // the monotonic clock counts from here, as the time of day may jump
 	interval atomic.Int64 // nanoseconds between two requests; 0 admits all
-	due      atomic.Int64 // Unix nanoseconds at which the next request is due if all come evenly
+	due      atomic.Int64 // nanoseconds since base at which the next request is due if all come evenly
 }
 
+// New returns a pacer that admits all requests.
+func New(now time.Time) *Pacer { return &Pacer{base: now} }
+
+func (p *Pacer) sinceBase(now time.Time) int64 { return int64(now.Sub(p.base)) }
+
 // SetRate limits the rate from now on, without requests left over from before; zero admits all requests.
 func (p *Pacer) SetRate(perSecond float64, now time.Time) {
 	if perSecond <= 0 {
@@ -27,7 +32,7 @@
 	}
 	interval := max(1, int64(float64(time.Second)/max(minPerSecond, perSecond)))
 	if p.interval.Swap(interval) == 0 {
-		p.due.Store(now.UnixNano() + burst(interval))
+		p.due.Store(p.sinceBase(now) + burst(interval))
 	}
 }
 
@@ -44,7 +49,7 @@
 		if interval == 0 {
 			return true
 		}
-		due, at := p.due.Load(), now.UnixNano()
+		due, at := p.due.Load(), p.sinceBase(now)
 		if at < due-burst(interval) {
 			return false
 		}
@@ -60,5 +65,5 @@
 	if interval == 0 {
 		return 0
 	}
-	return time.Duration(max(0, p.due.Load()-burst(interval)+int64(n)*interval-now.UnixNano()))
+	return time.Duration(max(0, p.due.Load()-burst(interval)+int64(n)*interval-p.sinceBase(now)))
 }
--- a/mesh/pacer/pacer_test.go
+++ b/mesh/pacer/pacer_test.go
@@ -32,7 +32,8 @@
 	}
 	var out strings.Builder
 	for _, c := range cases {
-		p, now := &Pacer{}, time.Unix(1000, 0)
+		now := time.Unix(1000, 0)
+		p := New(now)
 		fmt.Fprintf(&out, "%s:", c.name)
 		for _, s := range c.steps {
 			p.SetRate(s.limit, now)
@@ -58,7 +59,8 @@
 	const window = 4 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(1, 500).Draw(t, "rate")
-		p, now := &Pacer{}, time.Unix(1000, 0)
+		now := time.Unix(1000, 0)
+		p := New(now)
 		p.SetRate(rate, now)
 		var admitted []time.Time
 		for _, gap := range rapid.SliceOfN(rapid.IntRange(0, 2000), 1, 2000).Draw(t, "gaps in 0.1 ms") {
--- a/mesh/runner/limit.go
+++ b/mesh/runner/limit.go
@@ -18,11 +18,12 @@
 
 // limit is the rate limit that the upstream names in its responses, for as long as it does.
 type limit struct {
+	base      time.Time     // the monotonic clock counts from here, as the time of day may jump
 	proven    atomic.Bool   // a response has arrived
 	perSecond atomic.Uint64 // float64 bits; 0 without a limit
-	namedAt   atomic.Int64  // Unix nanoseconds at which the limit was last named
+	namedAt   atomic.Int64  // nanoseconds since base at which the limit was last named
 	told      atomic.Uint64 // float64 bits of the limit that other nodes were told last
-	toldAt    atomic.Int64  // Unix nanoseconds
+	toldAt    atomic.Int64  // nanoseconds since base; 0 if they were not told yet
 	malformed atomic.Bool   // a malformed limit was logged
 }
 
@@ -30,8 +31,8 @@
 // request that was sent after the limit was last named can lift it, as answers overtake each other.
 func (l *limit) update(perSecond float64, sentAt, now time.Time) bool {
 	if perSecond > 0 {
-		l.namedAt.Store(now.UnixNano())
-	} else if sentAt.UnixNano() <= l.namedAt.Load() {
+		l.namedAt.Store(int64(now.Sub(l.base)))
+	} else if int64(sentAt.Sub(l.base)) <= l.namedAt.Load() {
 		return false
 	}
 	bits := math.Float64bits(perSecond)
@@ -46,7 +47,8 @@
 	if (last == 0) == (perSecond == 0) && math.Abs(perSecond-last) <= toldChange*last {
 		return perSecond, false
 	}
-	if now.UnixNano()-at < int64(toldInterval) || !l.toldAt.CompareAndSwap(at, now.UnixNano()) {
+	since := int64(now.Sub(l.base))
+	if at > 0 && since-at < int64(toldInterval) || !l.toldAt.CompareAndSwap(at, since) {
 		return perSecond, false
 	}
 	l.told.Store(math.Float64bits(perSecond))
--- a/mesh/runner/limit_test.go
+++ b/mesh/runner/limit_test.go
@@ -107,9 +107,9 @@
 // TestLimitTold guards against a message to all nodes for each answer, when a limit changes from answer to answer, and
 // against a limit that other nodes never hear of.
 func TestLimitTold(t *testing.T) {
-	var l limit
-	var out strings.Builder
 	begun := time.Unix(1000, 0)
+	l := limit{base: begun.Add(-time.Second)}
+	var out strings.Builder
 	steps := []struct {
 		atMillis, sentMillis int
 		perSecond            float64
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -118,7 +118,7 @@
 	if b == nil || b.instance != a.Instance || b.startMillis != a.StartMillis || b.exchanger.Address != a.Address || b.slotter.Closed() && !leaving {
 		next := &backend{
 			tracker: r.tracker, log: r.log, instance: a.Instance, startMillis: a.StartMillis,
-			slotter: slotter.New(min(a.Slots, unprovenSlots)),
+			slotter: slotter.New(min(a.Slots, unprovenSlots)), limit: limit{base: time.Now()},
 		}
 		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next}
 		next.slots.Store(int32(a.Slots))
--- a/mesh/slotter/slotter.go
+++ b/mesh/slotter/slotter.go
@@ -40,7 +40,7 @@
 // Slotter limits the calls that run at once and the rate at which they start. A call that finds a free slot and an empty
 // queue takes no lock.
 type Slotter struct {
-	pacer           pacer.Pacer
+	pacer           *pacer.Pacer
 	slots           atomic.Int32
 	running         atomic.Int32
 	waiting         atomic.Int32
@@ -54,7 +54,7 @@
 
 // New returns a slotter of at least one slot.
 func New(slots int) *Slotter {
-	s := &Slotter{}
+	s := &Slotter{pacer: pacer.New(time.Now())}
 	s.slots.Store(int32(max(1, slots)))
 	s.meanServiceTime.Store(int64(initialMean))
 	return s
