--- a/mesh/slotter/slotter.go
+++ b/mesh/slotter/slotter.go
@@ -115,6 +115,10 @@
 
 // tryTakeSlot takes a slot if one is free and the rate admits a call.
 func (s *Slotter) tryTakeSlot() bool {
+	now := time.Now()
+	if s.pacer.Wait(0, now) > 0 {
+		return false
+	}
 	for {
 		n := s.running.Load()
 		if n >= s.slots.Load() {
@@ -124,7 +128,7 @@
 			break
 		}
 	}
-	if s.pacer.Take(time.Now()) {
+	if s.pacer.Take(now) {
 		return true
 	}
 	s.running.Add(-1)
@@ -140,6 +144,10 @@
 		expected, full = paced, OverRate
 	}
 	if refusal := refuseEarly(r, now, expected, s.MeanServiceTime()); refusal != "" || s.closed.Load() {
+		if full == OverRate {
+			// While this call tried to take a slot, the slot was not free for those that wait.
+			s.grantSlots()
+		}
 		s.mutex.Unlock()
 		switch refusal {
 		case "":
