--- a/ctl/tracer/tracer.go
+++ b/ctl/tracer/tracer.go
@@ -189,6 +189,12 @@
 			s += " Its objective had passed when it came, so it did not wait in front of others."
 		}
 		return s
+	case "rate":
+		return fmt.Sprintf("Refused with %d %s: endpoints of %s take no more calls a second (%d refused by the limit that they name).",
+			outcome.Status, timeAndSends, outcome.Service, refusals["rate"])
+	case "heldup":
+		return fmt.Sprintf("Refused with %d %s: it was held up on the link with the node of %s (%s), and nothing showed in time that its caller still waited.",
+			outcome.Status, timeAndSends, outcome.Instance, outcome.Tier)
 	case "body-full", "body-late":
 		return fmt.Sprintf("Refused with %d %s: no room in time for its body on the ways to the hosts of %s.",
 			outcome.Status, timeAndSends, outcome.Service)
