--- a/mesh/dispatcher/connection.go
+++ b/mesh/dispatcher/connection.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"net"
-	"syscall"
+
+	"wisteriaspoke.example/mesh/prober"
 )
 
 // errStale means that the upstream has closed an idle connection.
@@ -34,16 +35,4 @@
 }
 
 // closed reports whether the upstream has closed the connection, or has sent data without a request.
-func (c *connection) closed() bool {
-	raw, err := c.TCPConn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	isOpen := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isOpen = errors.Is(err, syscall.EAGAIN)
-	})
-	return err != nil || !isOpen
-}
+func (c *connection) closed() bool { return prober.Probe(c.TCPConn) != prober.Quiet }
--- a/mesh/exchanger/pool.go
+++ b/mesh/exchanger/pool.go
@@ -1,8 +1,9 @@
 package exchanger
 
 import (
-	"syscall"
 	"time"
+
+	"wisteriaspoke.example/mesh/prober"
 )
 
 // idleConnection is an entry of the stack of idle connections. A stack returns the most recently used one, which the
@@ -59,20 +60,5 @@
 // openWithoutData reports whether the connection is open and has no data to read. Data before a request cannot be its
 // response, so such a connection must not be used.
 func openWithoutData(conn *connection) bool {
-	c, ok := conn.Conn.(syscall.Conn)
-	if !ok || conn.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		noData = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && noData
+	return conn.reader.Buffered() == 0 && prober.Probe(conn.Conn) == prober.Quiet
 }
--- /dev/null
+++ b/mesh/prober/doc.go
@@ -0,0 +1,2 @@
+// Package prober looks at a TCP connection without reading from it.
+package prober
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -20,6 +20,7 @@
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/pauser"
+	"wisteriaspoke.example/mesh/prober"
 	"wisteriaspoke.example/mesh/rule"
 	"wisteriaspoke.example/mesh/view"
 )
@@ -114,7 +115,7 @@
 	}
 	r.server = &http.Server{
 		Handler: http.HandlerFunc(r.handle), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: slog.NewLogLogger(k.Log.Handler(), slog.LevelDebug),
+		ErrorLog: slog.NewLogLogger(k.Log.Handler(), slog.LevelDebug), ConnContext: withConnection,
 	}
 	served := make(chan error, 1)
 	go func() { served <- r.server.Serve(listener) }()
@@ -191,18 +192,45 @@
 		r.refuseBody(w, q, id, err)
 		return
 	}
+	// The server cancels the context only once its own goroutine has seen that the caller has hung up.
+	if hasLeft(q) {
+		r.logLeft(id, match, started, answer.No)
+		r.writeAnswer(w, id, callerLeft)
+		return
+	}
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
 		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
 	})
 	durationHistogram(match.Name()).Update(time.Since(started).Milliseconds())
 	if q.Context().Err() != nil {
-		abandoned.Inc(1)
-		r.log.Info("caller left", "id", id, "rule", match.Name(), "took", time.Since(started).Milliseconds(), "ran", a.Ran())
+		r.logLeft(id, match, started, a.Ran())
 	}
 	r.writeAnswer(w, id, a)
 }
 
+// logLeft counts and logs a request whose caller has hung up.
+func (r *Receiver) logLeft(id string, match *rule.Rule, started time.Time, ran answer.Ran) {
+	abandoned.Inc(1)
+	r.log.Info("caller left", "id", id, "rule", match.Name(), "took", time.Since(started).Milliseconds(), "ran", ran)
+}
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// callerLeft is the answer to a request whose caller had hung up before it was forwarded.
+var callerLeft = answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No})
+
+// hasLeft reports whether the request's caller has hung up.
+func hasLeft(q *http.Request) bool {
+	c, ok := q.Context().Value(connectionKey{}).(net.Conn)
+	return ok && prober.Probe(c) == prober.Ended
+}
+
 // requestTimeout returns the rule's or the default timeout, bounded by the time that the caller waits.
 func requestTimeout(r *rule.Rule, timeLeft time.Duration) time.Duration {
 	t := r.Timeout()
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, dialect: f}
-	r.server = &http.Server{Handler: http.HandlerFunc(r.handle), ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.handle), ConnContext: withConnection, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
 	served := make(chan error, 1)
 	go func() { served <- r.server.Serve(l) }()
 	t.Cleanup(func() {
@@ -63,6 +63,44 @@
 	return plan.New(3, plan.Limits{MaxBodyBytes: 10}, nil, []*rule.Rule{rule.New(rule.Fields{Name: "r", Host: "h", Prefix: "/a/", Timeout: 5 * time.Second})})
 }
 
+// TestCallerLeftUnread guards against GONE: requests that are forwarded although their callers had hung up before a busy
+// node read them.
+func TestCallerLeftUnread(t *testing.T) {
+	const callers = 100
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range callers {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, "GET /a/x HTTP/1.1\r\nHost: h\r\nId: left\r\n\r\n")
+		c.Close()
+	}
+	var forwarded, ended atomic.Int64
+	f := &fakeParts{plan: testPlan(), forward: func(context.Context, call.Fields) answer.Answer {
+		forwarded.Add(1)
+		return answer.New(answer.Fields{Status: 200, Ran: answer.Yes})
+	}}
+	r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, dialect: f}
+	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		r.handle(w, q)
+		ended.Add(1)
+	}), ConnContext: withConnection}
+	served := make(chan error, 1)
+	go func() { served <- r.server.Serve(l) }()
+	for end := time.Now().Add(10 * time.Second); ended.Load() < callers && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	r.server.Close()
+	<-served
+	if ended.Load() != callers || forwarded.Load() != 0 {
+		t.Errorf("%d of %d requests were handled and %d forwarded", ended.Load(), callers, forwarded.Load())
+	}
+}
+
 // TestRequests guards against requests that are changed when forwarded, malformed requests that are forwarded, and a
 // 404 while no configuration is known. Each case has the bytes of one request.
 func TestRequests(t *testing.T) {
