--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -101,7 +101,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		// The caller left during the dial.
+		// The caller left, or the deadline passed, while the connection was opened.
 		if !x.putIdle(conn) {
 			conn.Close()
 		}
