--- a/mesh/rule/rule.go
+++ b/mesh/rule/rule.go
@@ -14,7 +14,7 @@
 	Host       string
 	Prefix     string // begins and ends with a slash
 	Idempotent bool   // a request may run more than once
-	Bulk       bool   // requests have large bodies
+	Bulk       bool   // requests or answers have large bodies
 	Timeout    time.Duration
 	Objective  time.Duration     // latency objective
 	Attempts   int               // maximum number of endpoints that one request is sent to
@@ -49,7 +49,7 @@
 // Idempotent reports whether a request may run more than once.
 func (r *Rule) Idempotent() bool { return r.f.Idempotent }
 
-// Bulk reports whether requests have large bodies.
+// Bulk reports whether requests or answers have large bodies.
 func (r *Rule) Bulk() bool { return r.f.Bulk }
 
 // Timeout returns the longest time until the caller gets an answer, or zero for no limit.
