gossiper: pass records to other regions by several nodes, until confirmed

Cause: the first watcher to read a record sent it to one node of each other region and nobody noticed when that node was frozen; other nodes of the region learned of the revision ten seconds later. Ruled out: sending the record to all watchers' choices at once (three times the bytes of a large configuration). Change: each node that reads records from the store is responsible for each other region until a node there confirms them.

--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -26,7 +26,7 @@
 	kernel.Register("gossiper", 40, func() kernel.Part {
 		return &Gossiper{
 			now: time.Now, inputs: make(chan any, inputQueueSize), peers: map[string]*peer{}, records: newRecordSet(),
-			orders: map[string]order.Order{},
+			orders: map[string]order.Order{}, deliveries: map[string]*delivery{},
 		}
 	})
 }
@@ -127,8 +127,9 @@
 	planSince        time.Time
 	own              peer // this node
 	lastSequence     uint64
-	pulledAt         time.Time // when missing records were last pulled
-	heartbeatsSentAt time.Time // when heartbeats were last sent to other regions
+	pulledAt         time.Time            // when missing records were last pulled
+	heartbeatsSentAt time.Time            // when heartbeats were last sent to other regions
+	deliveries       map[string]*delivery // by region, on nodes that read records from the store
 	viewStale        bool
 }
 
@@ -276,6 +277,7 @@
 		g.handleEvent(in)
 	case storeRecords:
 		g.forwardRecords(g.applyNewer(g.compressSpecs(in)), g.config.Region, "")
+		g.expectDeliveries()
 	case storeAddresses:
 		for _, a := range in {
 			g.ensurePeer(a)
@@ -346,8 +348,13 @@
 			region = p.status.Region
 		}
 		g.forwardRecords(g.applyNewer(b.Records), region, from)
+		if region != g.config.Region {
+			g.confirm(p)
+		}
 	case *pullRequest:
 		g.sendMissing(p, b)
+	case *revisions:
+		g.handleRevisions(p, b)
 	case *heartbeats:
 		g.handleHeartbeats(p, b)
 	case *nodes:
--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -100,7 +100,7 @@
 	x := &node{network: n, address: address, region: address[:1], linked: map[string]bool{}, end: make(chan error, 1)}
 	x.Gossiper = &Gossiper{
 		now: time.Now, log: slog.New(slog.DiscardHandler), inputs: make(chan any, inputQueueSize), peers: map[string]*peer{},
-		records: newRecordSet(), orders: map[string]order.Order{}, sender: x, decoder: x, splitProvider: x, loadProvider: x,
+		records: newRecordSet(), orders: map[string]order.Order{}, deliveries: map[string]*delivery{}, sender: x, decoder: x, splitProvider: x, loadProvider: x,
 		config: machine.Config{
 			Node: address, DataCentre: address[:2], Region: address[:1], Incarnation: uint64(time.Now().UnixMilli()),
 		},
@@ -321,3 +321,54 @@
 	}
 	goldie.New(t).Assert(t, "heartbeats", []byte(out.String()))
 }
+
+// TestRecordsPassSilentNodes guards against CONFIG: nodes that are frozen, cut off, slow or killed while a configuration
+// is passed on, and that keep it from their region. Any two nodes may be silent, those that pass records on among them.
+func TestRecordsPassSilentNodes(t *testing.T) {
+	// bound is two fifths of the shortest time in which a configuration has to be in force.
+	const bound = time.Second
+	var addresses []string
+	for i := range 6 {
+		addresses = append(addresses, fmt.Sprintf("a1-%02d", i), fmt.Sprintf("b1-%02d", i), fmt.Sprintf("c1-%02d", i))
+	}
+	watchers := []string{"a1-00", "a1-01", "a1-02"}
+	late := map[string]bool{}
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{nodes: map[string]*node{}, isolated: map[string]bool{}, remoteRecords: map[string]int{}}
+		for _, a := range addresses {
+			n.start(a, addresses...)
+		}
+		time.Sleep(2 * time.Second)
+		version := uint64(1)
+		for i, first := range addresses {
+			for _, second := range addresses[i+1:] {
+				version++
+				n.mutex.Lock()
+				n.isolated = map[string]bool{first: true, second: true}
+				n.mutex.Unlock()
+				for _, a := range watchers {
+					n.nodes[a].AddRecords(configuration(version, version))
+					// The watch of each node ends a little after that of the one before.
+					time.Sleep(3 * time.Millisecond)
+				}
+				time.Sleep(bound)
+				synctest.Wait()
+				for _, a := range addresses {
+					if p := n.nodes[a].View().Plan(); !n.isolated[a] && (p == nil || p.Version() != version) {
+						late[first+" and "+second] = true
+					}
+				}
+				n.mutex.Lock()
+				n.isolated = map[string]bool{}
+				n.mutex.Unlock()
+				time.Sleep(3 * time.Second)
+			}
+		}
+		for a := range n.nodes {
+			n.kill(a)
+		}
+	})
+	for pair := range late {
+		t.Errorf("while %s are silent, a configuration is not in force after %v", pair, bound)
+	}
+}
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -13,6 +13,7 @@
 	kindNodes      = "gossip.nodes"
 	kindPull       = "gossip.pull"
 	kindHeartbeats = "gossip.heartbeats"
+	kindRevisions  = "gossip.revisions"
 )
 
 func init() {
@@ -20,6 +21,7 @@
 	encoder.Register(kindRecords, func() any { return new(records) })
 	encoder.Register(kindPull, func() any { return new(pullRequest) })
 	encoder.Register(kindNodes, func() any { return new(nodes) })
+	encoder.Register(kindRevisions, func() any { return new(revisions) })
 	encoder.Register(kindHeartbeats, func() any { return new(heartbeats) })
 }
 
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -17,6 +17,7 @@
 	statusSentAt    time.Time    // when this node last sent its status to the peer
 	status          *status      // the newest received, or nil
 	relayedSequence uint64       // sequence number of its last heartbeat that another node relayed
+	confirmed       revisions    // what it said it has, beside its status
 	ticksAhead      int          // number of ticks in a row at which the peer had newer stored objects than this node
 	gauge           *gauge.Gauge // load of its endpoint's current instance
 	gaugeInstance   string       // the instance that gauge measures
@@ -49,7 +50,7 @@
 		return false, false
 	}
 	if old != nil && u.Incarnation != old.Incarnation {
-		p.relayedSequence = 0
+		p.relayedSequence, p.confirmed = 0, revisions{}
 	}
 	p.status, p.lastHeardAt = u, now
 	if e := u.Endpoint; e != nil && (p.gauge == nil || p.gaugeInstance != e.Instance() || p.gaugeStart != e.Incarnation()) {
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -95,6 +95,7 @@
 	g.sendStatus(false)
 	g.sendHeartbeats(now)
 	g.pullMissing()
+	g.checkDeliveries(now)
 	linked := 0
 	for address, p := range g.peers {
 		if p.linked {
--- a/mesh/gossiper/records.go
+++ b/mesh/gossiper/records.go
@@ -97,26 +97,24 @@
 		return
 	}
 	m := message.New(kindRecords, &records{Records: rs})
-	remoteAddresses := map[string]string{} // by region
 	for _, p := range g.peers {
-		switch {
-		case !p.linked || p.status == nil || p.address == from:
-		case p.status.Region == g.config.Region:
+		if p.linked && p.status != nil && p.address != from && p.status.Region == g.config.Region {
 			g.sender.Send(p.address, m)
-		case from == "" && (remoteAddresses[p.status.Region] == "" || p.address < remoteAddresses[p.status.Region]):
-			remoteAddresses[p.status.Region] = p.address
 		}
 	}
-	for _, address := range remoteAddresses {
-		g.sender.Send(address, m)
+	if from != "" {
+		return
+	}
+	for region := range g.otherRegions() {
+		if nodes := g.remoteNodes(region); len(nodes) > 0 {
+			g.sender.Send(nodes[0].address, m)
+		}
 	}
 }
 
 // hasNewerRecords reports whether the peer is linked and has higher revisions than this node.
 func (g *Gossiper) hasNewerRecords(p *peer) bool {
-	return p.linked && p.status != nil &&
-		(p.status.ConfigurationRevision > g.records.highest[record.Configuration] ||
-			p.status.OrdersRevision > g.records.highest[record.Orders])
+	return p.linked && p.status != nil && !g.ownRevisions().covers(p.revisions())
 }
 
 // pullFrom asks the peer for missing records, unless a pull was sent less than minPullInterval ago.
@@ -126,11 +124,10 @@
 		return
 	}
 	g.pulledAt = now
-	q := &pullRequest{
-		ConfigurationRevision: g.records.highest[record.Configuration], OrdersRevision: g.records.highest[record.Orders],
-	}
+	own := g.ownRevisions()
+	q := &pullRequest{ConfigurationRevision: own.Configuration, OrdersRevision: own.Orders}
 	g.log.Info("missing records asked for", "peer", p.address, "configuration", q.ConfigurationRevision,
-		"orders", q.OrdersRevision, "theirs", p.status.ConfigurationRevision)
+		"orders", q.OrdersRevision, "theirs", p.revisions().Configuration)
 	g.sender.Send(p.address, message.New(kindPull, q))
 }
 
