canary, mover: tell bad versions from services that suffer

Change: the new version is bad if it answers too many of those calls badly that the old one answers well, by four standard deviations, also without its worst endpoint. Only the nodes that get the evidence judge. Failed before: TestEvaluate, cases few-calls, few-old-calls, bad-while-old-suffers.

--- a/mesh/canary/canary.go
+++ b/mesh/canary/canary.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -81,13 +82,17 @@
 const (
 	// minBadAnswers is the minimum number of bad answers for a version to be bad.
 	minBadAnswers = 4
-	// maxFailureRatio and maxSlowRatio are the tolerated ratios of bad answers of the new version, on top of
-	// baselineFactor times the old version's ratio. In a good version fewer than one in ten answers are slow.
+	// maxFailureRatio and maxSlowRatio are the tolerated ratios of bad answers of the new version among the calls that the
+	// old version would have answered well. In a good version fewer than one in ten answers are slow.
 	maxFailureRatio = 0.12
 	maxSlowRatio    = 0.2
-	baselineFactor  = 3
-	// conclusiveBadAnswers is the number of bad answers that suffices even if they come from one endpoint.
+	// minDeviations is the number of standard deviations by which the ratios must differ: both versions fail calls while
+	// the services that they call do, and few calls then tell little.
+	minDeviations = 4
+	// conclusiveBadAnswers is the number of bad answers that suffices even if they come from one endpoint, while the
+	// others have run fewer than fewCalls.
 	conclusiveBadAnswers = 15
+	fewCalls             = 8
 )
 
 // OutcomeCounts counts the outcomes of calls to one endpoint under one rule since the order.
@@ -103,26 +108,22 @@
 
 // tally sums the counts of one rule or of all rules.
 type tally struct {
-	calls, failures, slow           [2]float64 // of the old and of the new version
-	failingInstances, slowInstances map[string]bool
-	instances                       map[string]bool // all endpoints of the new version
+	calls, failures, slow [2]float64                // of the old and of the new version
+	instances             map[string]*OutcomeCounts // of the new version
 }
 
-func newTally() *tally {
-	return &tally{failingInstances: map[string]bool{}, slowInstances: map[string]bool{}, instances: map[string]bool{}}
-}
+func newTally() *tally { return &tally{instances: map[string]*OutcomeCounts{}} }
 
 func (t *tally) add(c OutcomeCounts) {
 	i := 0
 	if c.NewVersion {
 		i = 1
-		t.instances[c.Instance] = true
-		if c.Failures > 0 {
-			t.failingInstances[c.Instance] = true
-		}
-		if c.Slow > 0 {
-			t.slowInstances[c.Instance] = true
+		sum := t.instances[c.Instance]
+		if sum == nil {
+			sum = &OutcomeCounts{}
+			t.instances[c.Instance] = sum
 		}
+		sum.Calls, sum.Failures, sum.Slow = sum.Calls+c.Calls, sum.Failures+c.Failures, sum.Slow+c.Slow
 	}
 	t.calls[i] += float64(c.Calls)
 	t.failures[i] += float64(c.Failures)
@@ -131,8 +132,8 @@
 
 // Evaluate returns why the new version is bad, or the empty string.
 //
-// One faulty host must not make a version bad, so a few bad answers count only if they come from more than one endpoint
-// or if the version has just one.
+// One faulty host must not make a version bad, so it must also be bad without the endpoint that answered worst, unless
+// it has just one or the others have hardly run any calls.
 func Evaluate(cells []OutcomeCounts) string {
 	all := newTally()
 	rules := map[string]*tally{}
@@ -162,24 +163,58 @@
 }
 
 func (t *tally) badReason(scope string) string {
-	if tooMany(t.failures, t.calls, maxFailureRatio, len(t.failingInstances), len(t.instances)) {
+	if t.tooMany(t.failures, maxFailureRatio, func(c *OutcomeCounts) uint32 { return c.Failures }) {
 		return t.describe("fails", t.failures, scope)
 	}
-	if tooMany(t.slow, t.calls, maxSlowRatio, len(t.slowInstances), len(t.instances)) {
+	if t.tooMany(t.slow, maxSlowRatio, func(c *OutcomeCounts) uint32 { return c.Slow }) {
 		return t.describe("is slow in", t.slow, scope)
 	}
 	return ""
 }
 
-func tooMany(badAnswers, calls [2]float64, maxRatio float64, badInstances, instances int) bool {
-	if badAnswers[1] < minBadAnswers || badInstances < 2 && instances > 1 && badAnswers[1] < conclusiveBadAnswers {
+// tooMany reports whether the new version has too many bad answers; badOf returns those of one endpoint.
+func (t *tally) tooMany(bad [2]float64, maxRatio float64, badOf func(*OutcomeCounts) uint32) bool {
+	if bad[1] < minBadAnswers || !exceeds(bad, t.calls, maxRatio) || !significant(bad, t.calls) {
+		return false
+	}
+	var worst *OutcomeCounts
+	for _, c := range t.instances {
+		if worst == nil || badOf(c) > badOf(worst) {
+			worst = c
+		}
+	}
+	restBad := [2]float64{bad[0], bad[1] - float64(badOf(worst))}
+	restCalls := [2]float64{t.calls[0], t.calls[1] - float64(worst.Calls)}
+	if len(t.instances) == 1 || restCalls[1] < fewCalls && bad[1] >= conclusiveBadAnswers {
+		return true
+	}
+	return exceeds(restBad, restCalls, maxRatio)
+}
+
+// exceeds reports whether the new version answers more than maxRatio of those calls badly that the old one answers well.
+func exceeds(bad, calls [2]float64, maxRatio float64) bool {
+	if calls[1] == 0 {
 		return false
 	}
-	oldRatio := 0.0
-	if calls[0] > 0 {
-		oldRatio = badAnswers[0] / calls[0]
+	oldRatio := ratio(bad[0], calls[0])
+	return bad[1]/calls[1]-oldRatio > maxRatio*(1-oldRatio)
+}
+
+// significant reports whether the two versions differ by more than chance explains.
+func significant(bad, calls [2]float64) bool {
+	if calls[0] == 0 {
+		return true
+	}
+	both := (bad[0] + bad[1]) / (calls[0] + calls[1])
+	deviation := math.Sqrt(both * (1 - both) * (1/calls[0] + 1/calls[1]))
+	return ratio(bad[1], calls[1])-ratio(bad[0], calls[0]) > minDeviations*deviation
+}
+
+func ratio(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
 	}
-	return badAnswers[1]/calls[1] > maxRatio+baselineFactor*oldRatio
+	return part / whole
 }
 
 func (t *tally) describe(verb string, badAnswers [2]float64, scope string) string {
--- a/mesh/canary/canary_test.go
+++ b/mesh/canary/canary_test.go
@@ -72,6 +72,11 @@
 			newCell("n1", 200, 0, 0), newCell("n2", 200, 0, 0), oldCell(1000, 0, 0),
 			{Rule: "confirm", Instance: "n1", NewVersion: true, Calls: 6, Failures: 3}, {Rule: "confirm", Instance: "n2", NewVersion: true, Calls: 6, Failures: 3}, {Rule: "confirm", Calls: 60},
 		}},
+		// Calls that fail because a service behind the endpoints does, as one node alone saw them.
+		{"few-calls", []OutcomeCounts{newCell("n1", 6, 2, 0), newCell("n2", 6, 2, 0), oldCell(83, 3, 0)}},
+		{"few-old-calls", []OutcomeCounts{newCell("n1", 18, 3, 0), newCell("n2", 18, 3, 0), oldCell(64, 0, 0)}},
+		{"bad-while-old-suffers", []OutcomeCounts{newCell("n1", 50, 40, 0), newCell("n2", 50, 40, 0), oldCell(1000, 550, 0)}},
+		{"one-endpoint-gets-calls", []OutcomeCounts{newCell("n1", 32, 16, 0), newCell("n2", 3, 0, 0), oldCell(200, 0, 0)}},
 		{"no-old-calls", []OutcomeCounts{newCell("n1", 10, 4, 0), newCell("n2", 10, 4, 0)}},
 	}
 	var out strings.Builder
--- a/mesh/mover/mover.go
+++ b/mesh/mover/mover.go
@@ -303,9 +303,10 @@
 	}
 }
 
-// evaluate rejects the new version if the counts of all nodes show that it is bad.
+// evaluate rejects the new version if the counts of all nodes show that it is bad. Only the nodes that get the evidence
+// judge: the counts of one node alone say little.
 func (m *Mover) evaluate(mv *move) {
-	if mv.badReason != "" {
+	if mv.badReason != "" || !m.evaluates() {
 		return
 	}
 	cells, _ := mv.counter.snapshot()
@@ -318,6 +319,12 @@
 	}
 }
 
+// evaluates reports whether this node is one of those that get the evidence.
+func (m *Mover) evaluates() bool {
+	top := elector.TopRanked(m.cluster.Self(), m.cluster.Nodes(), evaluatorCount)
+	return slices.ContainsFunc(top, func(c elector.Candidate) bool { return c.Address == m.config.Node })
+}
+
 func (m *Mover) rejectVersion(mv *move, why, by string) {
 	mv.badReason = why
 	movesBad.Inc(1)
