canary, mover: do not count refused calls as a version's failures

Cause: endpoints that shed in an overload or a fault refuse calls of both versions. Failed before: TestEvaluate, shed-by-both (by what refusals counted as then).

--- a/mesh/canary/canary.go
+++ b/mesh/canary/canary.go
@@ -86,6 +86,9 @@
 	// old version would have answered well. In a good version fewer than one in ten answers are slow.
 	maxFailureRatio = 0.12
 	maxSlowRatio    = 0.2
+	// maxShedRatio is the same for calls that endpoints refuse to run. Overloaded endpoints of either version do so, and
+	// during the last stage the old version gets no calls to compare with.
+	maxShedRatio = 0.5
 	// minDeviations is the number of standard deviations by which the ratios must differ: both versions fail calls while
 	// the services that they call do, and few calls then tell little.
 	minDeviations = 4
@@ -104,12 +107,13 @@
 	Calls      uint32
 	Failures   uint32
 	Slow       uint32 // answers that took a multiple of the rule's service time
+	Shed       uint32 // calls that the endpoint refused to run
 }
 
 // tally sums the counts of one rule or of all rules.
 type tally struct {
-	calls, failures, slow [2]float64                // of the old and of the new version
-	instances             map[string]*OutcomeCounts // of the new version
+	calls, failures, slow, shed [2]float64                // of the old and of the new version
+	instances                   map[string]*OutcomeCounts // of the new version
 }
 
 func newTally() *tally { return &tally{instances: map[string]*OutcomeCounts{}} }
@@ -123,11 +127,13 @@
 			sum = &OutcomeCounts{}
 			t.instances[c.Instance] = sum
 		}
-		sum.Calls, sum.Failures, sum.Slow = sum.Calls+c.Calls, sum.Failures+c.Failures, sum.Slow+c.Slow
+		sum.Calls, sum.Failures = sum.Calls+c.Calls, sum.Failures+c.Failures
+		sum.Slow, sum.Shed = sum.Slow+c.Slow, sum.Shed+c.Shed
 	}
 	t.calls[i] += float64(c.Calls)
 	t.failures[i] += float64(c.Failures)
 	t.slow[i] += float64(c.Slow)
+	t.shed[i] += float64(c.Shed)
 }
 
 // Evaluate returns why the new version is bad, or the empty string.
@@ -169,6 +175,9 @@
 	if t.tooMany(t.slow, maxSlowRatio, func(c *OutcomeCounts) uint32 { return c.Slow }) {
 		return t.describe("is slow in", t.slow, scope)
 	}
+	if t.tooMany(t.shed, maxShedRatio, func(c *OutcomeCounts) uint32 { return c.Shed }) {
+		return t.describe("refuses", t.shed, scope)
+	}
 	return ""
 }
 
--- a/mesh/canary/canary_test.go
+++ b/mesh/canary/canary_test.go
@@ -77,6 +77,12 @@
 		{"few-old-calls", []OutcomeCounts{newCell("n1", 18, 3, 0), newCell("n2", 18, 3, 0), oldCell(64, 0, 0)}},
 		{"bad-while-old-suffers", []OutcomeCounts{newCell("n1", 50, 40, 0), newCell("n2", 50, 40, 0), oldCell(1000, 550, 0)}},
 		{"one-endpoint-gets-calls", []OutcomeCounts{newCell("n1", 32, 16, 0), newCell("n2", 3, 0, 0), oldCell(200, 0, 0)}},
+		{"shed-by-both", []OutcomeCounts{
+			{Rule: "read", Instance: "n1", NewVersion: true, Calls: 500, Shed: 150}, {Rule: "read", Instance: "n2", NewVersion: true, Calls: 500, Shed: 150}, oldCell(3000, 20, 0),
+		}},
+		{"shed-by-new", []OutcomeCounts{
+			{Rule: "read", Instance: "n1", NewVersion: true, Calls: 10, Shed: 9}, {Rule: "read", Instance: "n2", NewVersion: true, Calls: 10, Shed: 8}, oldCell(3000, 20, 0),
+		}},
 		{"no-old-calls", []OutcomeCounts{newCell("n1", 10, 4, 0), newCell("n2", 10, 4, 0)}},
 	}
 	var out strings.Builder
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -81,7 +81,7 @@
 // observer collects the results of calls to judge moves to new versions.
 type observer interface {
 	// Observe records the result of one call to an endpoint.
-	Observe(service, version, rule, instance string, failed, slow bool)
+	Observe(service, version, rule, instance string, failed, slow, shed bool)
 	// IsMoveTarget reports whether the version is the target of a running move.
 	IsMoveTarget(service, version string) bool
 }
@@ -334,8 +334,9 @@
 	if a.Ran() == answer.No && a.Reason() != exchanger.ReasonShed || a.Reason() == exchanger.ReasonCancelled {
 		return
 	}
+	shed := a.Reason() == exchanger.ReasonShed
 	slow := !e.WarmupEnd().After(now) && float64(serviceTime) > slowFactor*float64(q.expectedServiceTime)
-	f.observer.Observe(e.Service(), e.Version(), q.rule.Name(), e.Instance(), bad && !timedOut, slow)
+	f.observer.Observe(e.Service(), e.Version(), q.rule.Name(), e.Instance(), bad && !timedOut && !shed, slow, shed)
 }
 
 // budget returns this node's share of the mesh's retry budget for the service.
--- a/mesh/mover/mover.go
+++ b/mesh/mover/mover.go
@@ -183,7 +183,7 @@
 }
 
 // Observe counts the outcome of one call to an endpoint; without a running move of the service it returns at once.
-func (m *Mover) Observe(service, version, rule, instance string, failed, slow bool) {
+func (m *Mover) Observe(service, version, rule, instance string, failed, slow, shed bool) {
 	observed := (*m.counters.Load())[service]
 	if observed == nil {
 		return
@@ -192,7 +192,7 @@
 	if k.newVersion {
 		k.instance = instance
 	}
-	observed.counter.add(k, failed, slow)
+	observed.counter.add(k, outcome{failed: failed, slow: slow, shed: shed})
 }
 
 // IsMoveTarget reports whether the version is the target of a running move of the service.
