gossiper: a few nodes introduce a starting one to all others

Cause: each node that heard first from another one sent it the list of all nodes. Ruled out: asking for lists, which leaves a node with one dead seed alone. Change: of the nodes that are linked, the first three in an order of its own introduce the starting one. Failed before: TestStartCost (25 lists a node at 24 nodes; 12 at most are wanted at any size).

--- a/mesh/gossiper/deliveries.go
+++ b/mesh/gossiper/deliveries.go
@@ -135,11 +135,15 @@
 			nodes = append(nodes, p)
 		}
 	}
-	rank := func(p *peer) uint64 {
-		h := fnv.New64a()
-		h.Write([]byte(g.config.Node + " " + p.address))
-		return h.Sum64()
-	}
-	slices.SortFunc(nodes, func(a, b *peer) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.address, b.address)) })
+	slices.SortFunc(nodes, func(a, b *peer) int {
+		return cmp.Or(cmp.Compare(rank(g.config.Node, a.address), rank(g.config.Node, b.address)), cmp.Compare(a.address, b.address))
+	})
 	return nodes
 }
+
+// rank returns the place of a node in the order of nodes that belongs to key.
+func rank(key, address string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(key + " " + address))
+	return h.Sum64()
+}
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -374,7 +374,7 @@
 		g.viewStale = true
 		g.logEndpoint(p)
 	}
-	if (old == nil || old.Incarnation != u.Incarnation) && (u.Region == g.config.Region || u.ConfigurationRevision == 0) {
+	if (old == nil || old.Incarnation != u.Incarnation) && (u.Region == g.config.Region || u.ConfigurationRevision == 0) && g.introduces(p) {
 		// A node that starts receives addresses from its own region, and from every region while it has no configuration.
 		g.sender.Send(p.address, g.nodesMessage())
 	}
--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -33,6 +33,7 @@
 	isolated       map[string]bool // nodes whose messages are dropped in both directions
 	remoteRecords  map[string]int  // number of records received from other regions, by the receiver's region
 	remoteMessages int             // number of messages between regions
+	nodeLists      int             // number of lists of nodes that were sent
 }
 
 // node is a gossiper that is also the fake of the other parts it uses.
@@ -74,6 +75,9 @@
 	if n.region != other.region {
 		n.network.remoteMessages++
 	}
+	if _, ok := decoded.Body().(*nodes); ok {
+		n.network.nodeLists++
+	}
 	if rs, ok := decoded.Body().(*records); ok {
 		if n.region != other.region {
 			n.network.remoteRecords[other.region] += len(rs.Records)
@@ -372,3 +376,40 @@
 		t.Errorf("while %s are silent, a configuration is not in force after %v", pair, bound)
 	}
 }
+
+// TestStartCost guards against a start that costs each node a list of all others from each other one: with 300 nodes these
+// were some hundred megabytes between regions. All nodes start at once, as after a loss of power, and know the others
+// from the store.
+func TestStartCost(t *testing.T) {
+	// maxLists is the number of lists that a node may get on average, whatever the number of nodes.
+	const maxLists = 12
+	for _, size := range []int{24, 48, 96} {
+		synctest.Test(t, func(t *testing.T) {
+			n := &network{nodes: map[string]*node{}, isolated: map[string]bool{}, remoteRecords: map[string]int{}}
+			var addresses []string
+			for i := range size / 3 {
+				addresses = append(addresses, fmt.Sprintf("a1-%02d", i), fmt.Sprintf("b1-%02d", i), fmt.Sprintf("c1-%02d", i))
+			}
+			for _, a := range addresses {
+				n.start(a, addresses...)
+			}
+			time.Sleep(2 * time.Second)
+			// One that starts later with a single seed must learn of all others.
+			n.start("a1-new", "b1-00")
+			time.Sleep(3 * time.Second)
+			synctest.Wait()
+			if got := len(n.nodes["a1-new"].Nodes()); got != size {
+				t.Errorf("%d nodes: a node that starts with one seed knows %d", size, got)
+			}
+			n.mutex.Lock()
+			lists := float64(n.nodeLists) / float64(size)
+			n.mutex.Unlock()
+			if lists > maxLists {
+				t.Errorf("%d nodes: each gets %.0f lists of the others, want at most %d", size, lists, maxLists)
+			}
+			for a := range n.nodes {
+				n.kill(a)
+			}
+		})
+	}
+}
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -58,6 +58,22 @@
 	return message.New(kindNodes, n)
 }
 
+// introducers is the number of nodes that send the addresses of all others to a node that starts. Several do, as some may
+// not reach it and those that have just started know few others.
+const introducers = 3
+
+// introduces reports whether this node is one of those that introduce p to the others: the first of the linked nodes, in an
+// order that differs for each p.
+func (g *Gossiper) introduces(p *peer) bool {
+	own, before := rank(p.address, g.config.Node), 0
+	for _, o := range g.peers {
+		if o != p && o.linked && rank(p.address, o.address) < own {
+			before++
+		}
+	}
+	return before < introducers
+}
+
 // sendStatus sends this node's status to all linked peers, or only to those for which it is due.
 func (g *Gossiper) sendStatus(all bool) {
 	now := g.now()
