watcher: list the nodes cheaply at a start

Cause: each start cost two calls at the store's full price, beside watches. Change: the first list is a cheap one; it counts if it has the node's own entry, otherwise the list is asked for again, up to date. Failed before: TestStart.

--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -128,7 +129,8 @@
 }
 
 // maintainNodes writes this node's entry and then lists all entries periodically. It writes first, so that of two nodes
-// that start at the same time at least the one that writes last finds the other.
+// that start at the same time at least the one that writes last finds the other. A cheap list that has the entry is at
+// least as new as that write, or as an earlier one of this node, which the other node has found.
 func (w *Watcher) maintainNodes(ctx context.Context) error {
 	b := backoff{}
 	for {
@@ -142,16 +144,21 @@
 			return err
 		}
 	}
-	for first := true; ; first = false {
+	for cheap, included := true, false; ; {
 		err := w.callStore(ctx, "list entries", func(ctx context.Context) error {
-			rs, _, err := w.store.List(ctx, record.Hosts, !first)
-			w.cluster.AddAddresses(addresses(rs))
+			rs, _, err := w.store.List(ctx, record.Hosts, cheap)
+			known := addresses(rs)
+			w.cluster.AddAddresses(known)
+			included = included || err == nil && (!cheap || slices.Contains(known, w.node))
 			return err
 		})
 		delay := relistInterval
+		cheap = included
 		switch {
 		case err != nil:
 			delay = b.next()
+		case !included:
+			continue
 		case len(w.cluster.Nodes()) == 0:
 			delay = unlinkedRelistInterval
 		default:
--- a/mesh/watcher/watcher_test.go
+++ b/mesh/watcher/watcher_test.go
@@ -29,6 +29,8 @@
 	refusing  bool // calls fail at once
 	gone      bool // the next watch fails with Gone
 	stalled   bool // watches return neither changes nor Gone
+	stale     bool // cheap lists lack what was put since
+	hosts     []record.Record
 	changed   chan struct{}
 }
 
@@ -58,6 +60,12 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if kind == record.Hosts {
+		if cheap && s.stale {
+			return nil, s.at, nil
+		}
+		return slices.Clone(s.hosts), s.at, nil
+	}
 	return slices.Clone(s.changes), s.at, nil
 }
 
@@ -98,7 +106,13 @@
 }
 
 func (s *fakeStore) Put(ctx context.Context, kind record.Kind, name string, _ []byte) error {
-	return s.begin(ctx, "put %s %s", kind, name)
+	if err := s.begin(ctx, "put %s %s", kind, name); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.hosts = append(s.hosts, record.Record{Kind: kind, Name: name})
+	return nil
 }
 
 // change replaces the configuration by a new revision.
@@ -256,3 +270,25 @@
 		}
 	})
 }
+
+// TestStart guards against starts that cost more of the store than they need, and against a node that misses others since
+// a cheap list is older than its own entry.
+func TestStart(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stale bool
+	}{{"start", false}, {"start-stale-list", true}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeStore{startedAt: time.Now(), stale: c.stale, changed: make(chan struct{})}
+			f := &fakeCluster{store: s, peers: []elector.Candidate{{Address: "a"}}}
+			w := &Watcher{log: slog.New(slog.DiscardHandler), store: s, cluster: f, node: "m"}
+			ctx, cancel := context.WithCancel(context.Background())
+			end := make(chan error, 1)
+			go func() { end <- w.maintainNodes(ctx) }()
+			time.Sleep(relistInterval + time.Second)
+			cancel()
+			<-end
+			goldie.New(t).Assert(t, c.name, []byte(withoutTimes(s.trace)))
+		})
+	}
+}
