gossiper, enroller: a restarted node learns which upstream has left

Cause: what a node knows of its upstream's leaving is lost when it restarts. An announcement that was delayed then brought the upstream back into use, at that node and at all others, although they knew better. Change: nodes keep which start of an upstream has left for good, correct a status that says otherwise, and tell the restarted node. A node that only stops does not count.

--- a/mesh/endpoint/endpoint.go
+++ b/mesh/endpoint/endpoint.go
@@ -36,7 +36,8 @@
 	Instance    string `json:"instance,omitempty" cbor:"10,keyasint,omitempty"`
 	WarmupEnd   int64  `json:"warm,omitempty" cbor:"11,keyasint,omitempty"` // milliseconds since 1970
 
-	Limit float64 `json:"limit,omitempty" cbor:"12,keyasint,omitempty"` // calls a second
+	Limit     float64 `json:"limit,omitempty" cbor:"12,keyasint,omitempty"` // calls a second
+	Withdrawn bool    `json:"withdrawn,omitempty" cbor:"13,keyasint,omitempty"`
 }
 
 // Fields holds the values of a new Endpoint.
@@ -49,6 +50,7 @@
 	Instance                                      string    // identifies one start of the upstream
 	WarmupEnd                                     time.Time // when the cold start ends
 	Limit                                         float64   // calls a second from all nodes; 0 without a limit
+	Withdrawn                                     bool      // this start of the upstream leaves for good
 }
 
 // New returns an endpoint with the fields.
@@ -56,7 +58,7 @@
 	return Endpoint{fields: wireFormat{
 		Address: f.Address, Service: f.Service, Version: f.Version, DataCentre: f.DataCentre, Region: f.Region,
 		Slots: f.Slots, State: f.State, Incarnation: f.Incarnation, Joined: f.Joined.UnixMilli(), Instance: f.Instance,
-		WarmupEnd: unixMillis(f.WarmupEnd), Limit: f.Limit,
+		WarmupEnd: unixMillis(f.WarmupEnd), Limit: f.Limit, Withdrawn: f.Withdrawn,
 	}}
 }
 
@@ -115,6 +117,9 @@
 // Limit returns the calls a second that the upstream takes from all nodes together, or 0 if it names no limit.
 func (e Endpoint) Limit() float64 { return e.fields.Limit }
 
+// Withdrawn reports whether this start of the upstream leaves for good; a leaving upstream whose node only stops does not.
+func (e Endpoint) Withdrawn() bool { return e.fields.Withdrawn }
+
 // WithState returns a copy with the state s.
 func (e Endpoint) WithState(s State) Endpoint {
 	e.fields.State = s
--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -46,6 +46,7 @@
 	state        endpoint.State
 	until        time.Time // end of the cold start, or of the pause of a suspect upstream
 	limit        float64   // calls a second; 0 without a limit
+	withdrawn    bool      // the process leaves, which is final
 }
 
 // Announcement returns the upstream's last announcement.
@@ -60,6 +61,9 @@
 // Limit returns the calls a second that the upstream takes, by its responses, or 0 if it names no limit.
 func (u *Upstream) Limit() float64 { return u.limit }
 
+// Withdrawn reports whether the process itself leaves, and not only its node.
+func (u *Upstream) Withdrawn() bool { return u.withdrawn }
+
 // withState returns a copy with another state, which until applies to.
 func (u *Upstream) withState(s endpoint.State, until time.Time) *Upstream {
 	next := *u
@@ -174,7 +178,7 @@
 	if a.Leaving || e.stopping.Load() {
 		state = endpoint.Leaving
 	}
-	next := &Upstream{announcement: a, state: state, until: e.now().Add(a.Warmup)}
+	next := &Upstream{announcement: a, state: state, until: e.now().Add(a.Warmup), withdrawn: a.Leaving}
 	if c := e.current.Load(); c.sameProcess(a) {
 		next.limit = c.limit
 	}
@@ -194,7 +198,9 @@
 	r.startMillis = max(r.startMillis, startMillis)
 	e.instances[instance] = r
 	if c := e.current.Load(); c != nil && c.announcement.Instance == instance {
-		e.publish(c.withState(endpoint.Leaving, c.until))
+		next := c.withState(endpoint.Leaving, c.until)
+		next.withdrawn = true
+		e.publish(next)
 	}
 }
 
@@ -244,7 +250,7 @@
 	if old != nil && old.state == u.state && old.announcement.Instance == u.announcement.Instance &&
 		old.announcement.Service == u.announcement.Service && old.announcement.Slots == u.announcement.Slots &&
 		old.announcement.Version == u.announcement.Version && old.announcement.Address == u.announcement.Address &&
-		old.announcement.StartMillis == u.announcement.StartMillis && old.limit == u.limit {
+		old.announcement.StartMillis == u.announcement.StartMillis && old.limit == u.limit && old.withdrawn == u.withdrawn {
 		return
 	}
 	e.log.Info("upstream changed", "instance", u.announcement.Instance, "service", u.announcement.Service,
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -93,6 +93,12 @@
 	Load() (outstanding int, serviceTimeRatio int64)
 }
 
+// withdrawer holds what is known of the local upstream.
+type withdrawer interface {
+	// Withdraw records that the instance's process which started at startMillis leaves, which is final; it must not block.
+	Withdraw(instance string, startMillis int64)
+}
+
 // orderObserver is notified when orders change.
 type orderObserver interface {
 	// SetOrders receives the full set of orders after each change; it must not block.
@@ -109,6 +115,7 @@
 	decoder           recordDecoder
 	splitProvider     splitProvider
 	loadProvider      loadProvider
+	withdrawer        withdrawer
 	orderObservers    []orderObserver
 	config            machine.Config
 	inputs            chan any
@@ -157,6 +164,9 @@
 	if g.loadProvider, err = kernel.Need[loadProvider](k); err != nil {
 		return nil, err
 	}
+	if g.withdrawer, err = kernel.Need[withdrawer](k); err != nil {
+		return nil, err
+	}
 	own, err := kernel.Need[configProvider](k)
 	if err != nil {
 		return nil, err
@@ -355,6 +365,9 @@
 		g.sendMissing(p, b)
 	case *revisions:
 		g.handleRevisions(p, b)
+	case *withdrawal:
+		g.log.Info("upstream withdrawn, by another node", "peer", p.address, "instance", b.Instance, "born", b.Start)
+		g.withdrawer.Withdraw(b.Instance, int64(b.Start))
 	case *heartbeats:
 		g.handleHeartbeats(p, b)
 	case *nodes:
@@ -374,6 +387,10 @@
 		g.viewStale = true
 		g.logEndpoint(p)
 	}
+	if old != nil && old.Incarnation != u.Incarnation && p.withdrawn != (withdrawal{}) {
+		w := p.withdrawn
+		g.sender.Send(p.address, message.New(kindWithdrawal, &w))
+	}
 	if (old == nil || old.Incarnation != u.Incarnation) && (u.Region == g.config.Region || u.ConfigurationRevision == 0) && g.introduces(p) {
 		// A node that starts receives addresses from its own region, and from every region while it has no configuration.
 		g.sender.Send(p.address, g.nodesMessage())
--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -43,6 +43,7 @@
 	address string
 	region  string
 	linked  map[string]bool
+	own     *enroller.Enroller // of the node's upstream
 	cancel  context.CancelFunc
 	end     chan error
 }
@@ -99,17 +100,20 @@
 func (n *node) Split(string) composer.Split { return composer.Split{} }
 func (n *node) Load() (int, int64)          { return 3, 1500 }
 
+func (n *node) Withdraw(instance string, startMillis int64) { n.own.Withdraw(instance, startMillis) }
+
 // start adds a node that has the seeds; the first letter of its address names its region.
 func (n *network) start(address string, seeds ...string) *node {
 	x := &node{network: n, address: address, region: address[:1], linked: map[string]bool{}, end: make(chan error, 1)}
 	x.Gossiper = &Gossiper{
 		now: time.Now, log: slog.New(slog.DiscardHandler), inputs: make(chan any, inputQueueSize), peers: map[string]*peer{},
-		records: newRecordSet(), orders: map[string]order.Order{}, deliveries: map[string]*delivery{}, sender: x, decoder: x, splitProvider: x, loadProvider: x,
+		records: newRecordSet(), orders: map[string]order.Order{}, deliveries: map[string]*delivery{}, sender: x, decoder: x, splitProvider: x, loadProvider: x, withdrawer: x,
 		config: machine.Config{
 			Node: address, DataCentre: address[:2], Region: address[:1], Incarnation: uint64(time.Now().UnixMilli()),
 		},
 		own: peer{address: address, linked: true},
 	}
+	x.own = enroller.New(slog.New(slog.DiscardHandler), x)
 	x.view.Store(view.New(nil, time.Time{}, nil))
 	x.publishNodes()
 	n.mutex.Lock()
@@ -195,8 +199,7 @@
 // enrol announces an upstream at the node.
 func enrol(t *testing.T, n *node, sequence int64, leaving bool) {
 	t.Helper()
-	e := enroller.New(slog.New(slog.DiscardHandler), n)
-	if !e.Announce(enroller.Announcement{
+	if !n.own.Announce(enroller.Announcement{
 		Instance: "i-" + n.address, Service: "s", Version: "v1", Slots: 4,
 		StartMillis: 1, Sequence: sequence, Leaving: leaving,
 	}) {
@@ -413,3 +416,47 @@
 		})
 	}
 }
+
+// TestWithdrawalOutlivesRestart guards against DRAIN and ROUTE: an upstream that has left, or said so, and is in use again
+// after a restart of its node, when an announcement arrives that was delayed. The node itself has lost what it knew.
+func TestWithdrawalOutlivesRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &network{nodes: map[string]*node{}, isolated: map[string]bool{}, remoteRecords: map[string]int{}}
+		addresses := []string{"a1-x", "a1-y", "b1-x"}
+		for _, a := range addresses {
+			n.start(a, addresses...)
+		}
+		n.nodes["a1-x"].AddRecords(configuration(4, 10))
+		for _, a := range addresses {
+			enrol(t, n.nodes[a], 1, false)
+		}
+		time.Sleep(time.Second)
+		enrol(t, n.nodes["a1-y"], 5, true)
+		time.Sleep(100 * time.Millisecond)
+		n.kill("a1-y")
+		time.Sleep(500 * time.Millisecond)
+		restarted := n.start("a1-y", addresses...)
+		time.Sleep(500 * time.Millisecond)
+		// The delayed announcement may come before or after the others have told the node.
+		restarted.own.Announce(enroller.Announcement{Instance: "i-a1-y", Service: "s", Version: "v1", Slots: 4, StartMillis: 1, Sequence: 4})
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		for _, a := range addresses {
+			for _, x := range n.nodes[a].View().Pool("s").Stable {
+				if x.Endpoint().Address() == "a1-y" {
+					t.Errorf("%s calls an upstream that has left", a)
+				}
+			}
+		}
+		// A new start under the same identifier is another matter.
+		restarted.own.Announce(enroller.Announcement{Instance: "i-a1-y", Service: "s", Version: "v1", Slots: 4, StartMillis: 2, Sequence: 1})
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		if got := len(n.nodes["b1-x"].View().Pool("s").Stable); got != len(addresses) {
+			t.Errorf("after a new start of the upstream b1-x calls %d, want %d", got, len(addresses))
+		}
+		for a := range n.nodes {
+			n.kill(a)
+		}
+	})
+}
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -14,6 +14,7 @@
 	kindPull       = "gossip.pull"
 	kindHeartbeats = "gossip.heartbeats"
 	kindRevisions  = "gossip.revisions"
+	kindWithdrawal = "gossip.withdrawal"
 )
 
 func init() {
@@ -22,6 +23,7 @@
 	encoder.Register(kindPull, func() any { return new(pullRequest) })
 	encoder.Register(kindNodes, func() any { return new(nodes) })
 	encoder.Register(kindRevisions, func() any { return new(revisions) })
+	encoder.Register(kindWithdrawal, func() any { return new(withdrawal) })
 	encoder.Register(kindHeartbeats, func() any { return new(heartbeats) })
 }
 
@@ -42,6 +44,13 @@
 	Endpoint              *endpoint.Endpoint // nil before the upstream announces itself
 }
 
+// withdrawal is the message that tells a restarted node which start of its upstream has left.
+type withdrawal struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	Start    uint64 // of the process
+}
+
 // records is the message that transfers objects of the store.
 type records struct {
 	_       struct{} `cbor:",toarray"`
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/elector"
+	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/gauge"
 )
 
@@ -17,6 +18,7 @@
 	statusSentAt    time.Time    // when this node last sent its status to the peer
 	status          *status      // the newest received, or nil
 	relayedSequence uint64       // sequence number of its last heartbeat that another node relayed
+	withdrawn       withdrawal   // the last start of its upstream that left for good
 	confirmed       revisions    // what it said it has, beside its status
 	ticksAhead      int          // number of ticks in a row at which the peer had newer stored objects than this node
 	gauge           *gauge.Gauge // load of its endpoint's current instance
@@ -52,6 +54,7 @@
 	if old != nil && u.Incarnation != old.Incarnation {
 		p.relayedSequence, p.confirmed = 0, revisions{}
 	}
+	p.keepWithdrawal(u)
 	p.status, p.lastHeardAt = u, now
 	if e := u.Endpoint; e != nil && (p.gauge == nil || p.gaugeInstance != e.Instance() || p.gaugeStart != e.Incarnation()) {
 		p.gauge, p.gaugeInstance, p.gaugeStart = gauge.New(now), e.Instance(), e.Incarnation()
@@ -69,3 +72,17 @@
 	}
 	return *old.Endpoint != *u.Endpoint, true
 }
+
+// keepWithdrawal records that the peer's upstream leaves for good, and corrects a status that says otherwise: the peer may
+// have restarted since and been told by a delayed announcement.
+func (p *peer) keepWithdrawal(u *status) {
+	e := u.Endpoint
+	switch {
+	case e == nil:
+	case e.Withdrawn():
+		p.withdrawn = withdrawal{Instance: e.Instance(), Start: e.Incarnation()}
+	case p.withdrawn == withdrawal{Instance: e.Instance(), Start: e.Incarnation()}:
+		corrected := e.WithState(endpoint.Leaving)
+		u.Endpoint = &corrected
+	}
+}
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -16,7 +16,7 @@
 		Address: g.config.Node, Service: a.Service, Version: a.Version,
 		DataCentre: g.config.DataCentre, Region: g.config.Region, Slots: a.Slots, State: l.State(),
 		Incarnation: uint64(a.StartMillis), Joined: time.UnixMilli(a.StartMillis), Instance: a.Instance,
-		Limit: l.Limit(),
+		Limit: l.Limit(), Withdrawn: l.Withdrawn(),
 	}
 	if l.State() == endpoint.Ready {
 		f.WarmupEnd = l.WarmupEnd()
