--- a/ctl/tracer/tracer.go
+++ b/ctl/tracer/tracer.go
@@ -198,6 +198,12 @@
 	case "body-full", "body-late":
 		return fmt.Sprintf("Refused with %d %s: no room in time for its body on the ways to the hosts of %s.",
 			outcome.Status, timeAndSends, outcome.Service)
+	case "outflow":
+		return fmt.Sprintf("Refused with %d %s: its answer could not leave the hosts of %s in time, by the rate of their links.",
+			outcome.Status, timeAndSends, outcome.Service)
+	case "unsent":
+		return fmt.Sprintf("%s (%s) ran it, but its answer could not leave that host before the deadline, %s.",
+			outcome.Instance, outcome.Tier, timeAndSends)
 	case "none":
 		return fmt.Sprintf("Refused with %d %s: no further endpoint of %s was known.",
 			outcome.Status, timeAndSends, outcome.Service)
