gossiper: nodes that are about to be linked count as introducers

Each node counted only the nodes that it was linked with so far, and early in a start these are few, so lists grew with the logarithm of the fleet where events came in a mixed order. Change: nodes that were learned of within the last second count as well.

--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -62,12 +62,17 @@
 // not reach it and those that have just started know few others.
 const introducers = 3
 
-// introduces reports whether this node is one of those that introduce p to the others: the first of the linked nodes, in an
-// order that differs for each p.
+// introductionDelay is how long a node that was just learned of counts as one that can introduce others. When all nodes
+// start at once, links to most of them are still being opened.
+const introductionDelay = time.Second
+
+// introduces reports whether this node is one of those that introduce p to the others: the first of the nodes that are
+// linked, or about to be, in an order that differs for each p.
 func (g *Gossiper) introduces(p *peer) bool {
-	own, before := rank(p.address, g.config.Node), 0
+	own, before, now := rank(p.address, g.config.Node), 0, g.now()
 	for _, o := range g.peers {
-		if o != p && o.linked && rank(p.address, o.address) < own {
+		usable := o.linked || o.status == nil && now.Sub(o.linkChangedAt) < introductionDelay
+		if o != p && usable && rank(p.address, o.address) < own {
 			before++
 		}
 	}
