--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -168,14 +168,8 @@
 		return nil, err
 	}
 	l.messageHandlers = kernel.All[messageHandler](k)
-	l.intake = unlimited{}
-	if all := kernel.All[intake](k); len(all) > 0 {
-		l.intake = all[0]
-	}
-	l.outflow = unlimited{}
-	if all := kernel.All[outflow](k); len(all) > 0 {
-		l.outflow = all[0]
-	}
+	l.intake = partOr[intake](k, unlimited{})
+	l.outflow = partOr[outflow](k, unlimited{})
 	if l.injector, err = kernel.Need[injector](k); err != nil {
 		return nil, err
 	}
--- a/mesh/linker/offer.go
+++ b/mesh/linker/offer.go
@@ -8,6 +8,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/kernel"
 )
 
 const (
@@ -37,6 +38,14 @@
 	Send(ctx context.Context, c call.Call, reservation int64, size int) error
 }
 
+// partOr returns the first part that implements T, or the fallback if there is none.
+func partOr[T any](k *kernel.Kernel, fallback T) T {
+	if all := kernel.All[T](k); len(all) > 0 {
+		return all[0]
+	}
+	return fallback
+}
+
 // unlimited admits every body and answer; it is used on nodes where no part implements intake or outflow.
 type unlimited struct{}
 
