gossiper: stop counting introducers at the third

Cause: each node compared every node that it met with all others, so a start cost it the square of the fleet in hashes. Change: the loop ends with the answer. No change of behaviour. Checked: tests of the package with the race detector.

--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -72,11 +72,15 @@
 	own, before, now := rank(p.address, g.config.Node), 0, g.now()
 	for _, o := range g.peers {
 		usable := o.linked || o.status == nil && now.Sub(o.linkChangedAt) < introductionDelay
-		if o != p && usable && rank(p.address, o.address) < own {
-			before++
+		if o == p || !usable || rank(p.address, o.address) >= own {
+			continue
+		}
+		// Most nodes find enough before them soon, so that a start does not look at all pairs of nodes.
+		if before++; before == introducers {
+			return false
 		}
 	}
-	return before < introducers
+	return true
 }
 
 // sendStatus sends this node's status to all linked peers, or only to those for which it is due.
