--- a/mesh/pipeliner/pipeliner.go
+++ b/mesh/pipeliner/pipeliner.go
@@ -39,6 +39,8 @@
 	// Handle returns the answer to a request that was read at begun; ctx ends when the caller hangs up. An answer with
 	// Close set closes the connection unless further requests have been accepted.
 	Handle(ctx context.Context, q *http.Request, body []byte, begun time.Time) *http.Response
+	// Abandoned is called for a request that was read at begun and is not handled, as its caller has hung up.
+	Abandoned(q *http.Request, begun time.Time)
 	// Reject returns the answer to a request that cannot be read; q is nil if its head is malformed.
 	Reject(q *http.Request, status int, reason string) *http.Response
 }
@@ -147,6 +149,7 @@
 		turn = x.done
 		// The caller may have hung up before this request was read. Bytes behind it hide that.
 		if x.response == nil && p.reader.Buffered() == 0 && prober.Probe(p.Conn) == prober.Ended {
+			p.Handler.Abandoned(x.request, x.begun)
 			p.cancel()
 			return
 		}
@@ -264,6 +267,7 @@
 func (p *Pipeliner) serve(ctx context.Context, x *exchange) {
 	defer p.end(x)
 	if x.response == nil && !p.Handler.MayOverlap(x.request) && !await(ctx, x.turn) {
+		p.Handler.Abandoned(x.request, x.begun)
 		return
 	}
 	if x.response == nil {
--- a/mesh/pipeliner/pipeliner_test.go
+++ b/mesh/pipeliner/pipeliner_test.go
@@ -59,6 +59,8 @@
 	return answerOf(200, q.URL.Path)
 }
 
+func (h *fakeHandler) Abandoned(*http.Request, time.Time) {}
+
 func (h *fakeHandler) Reject(_ *http.Request, status int, reason string) *http.Response {
 	return answerOf(status, reason)
 }
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -321,12 +321,29 @@
 	})
 	durationHistogram(match.Name()).Update(time.Since(begun).Milliseconds())
 	if caller.Err() != nil {
-		abandoned.Inc(1)
-		r.log.Info("caller left", "id", id, "rule", match.Name(), "took", time.Since(begun).Milliseconds(), "ran", a.Ran())
+		r.logLeft(id, match.Name(), begun, a.Ran())
 	}
 	return r.response(id, a)
 }
 
+// Abandoned counts and logs a request whose caller hung up before it was forwarded.
+func (r *Receiver) Abandoned(q *http.Request, begun time.Time) {
+	id, _ := r.dialect.ParseRequest(q.Header)
+	rule := ""
+	if p := r.views.View().Plan(); p != nil {
+		if match := p.Match(q.Host, q.URL.EscapedPath()); match != nil {
+			rule = match.Name()
+		}
+	}
+	r.logLeft(id, rule, begun, answer.No)
+}
+
+// logLeft counts and logs a request whose caller has hung up.
+func (r *Receiver) logLeft(id, rule string, begun time.Time, ran answer.Ran) {
+	abandoned.Inc(1)
+	r.log.Info("caller left", "id", id, "rule", rule, "took", time.Since(begun).Milliseconds(), "ran", ran)
+}
+
 // requestTimeout returns the rule's or the default timeout, bounded by the time that the caller waits.
 func requestTimeout(r *rule.Rule, timeLeft time.Duration) time.Duration {
 	t := r.Timeout()
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -91,6 +91,7 @@
 		forwarded.Add(1)
 		return answer.New(answer.Fields{Status: 200, Ran: answer.Yes})
 	}}
+	before := abandoned.Count()
 	r := startOn(t, f, l)
 	// The connection after them is accepted last, and answered.
 	if got := get(l.Addr().String(), "last"); got != "200 close false" {
@@ -98,8 +99,8 @@
 	}
 	close(r.stop)
 	<-r.idle
-	if forwarded.Load() != 1 {
-		t.Errorf("%d requests of %d callers that had left were forwarded", forwarded.Load()-1, callers)
+	if left := abandoned.Count() - before; left != callers || forwarded.Load() != 1 {
+		t.Errorf("%d of %d requests were read and abandoned, and %d forwarded beside the last", left, callers, forwarded.Load()-1)
 	}
 }
 
