--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-harness ] && [ -x target/wisteriaspoke-platform ] || { echo "not built"; exit 2; }
-exec target/review-harness caller . review/2/record.txt
+exec target/review-harness stale . review/2/record.txt
--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -29,9 +29,13 @@
 	inUse    atomic.Int64
 	stop     chan struct{} // ends the heartbeats
 	once     sync.Once
+	crashes  string        // path of the requests that crash it, or empty
+	downFor  time.Duration // after a crash
 
 	mutex sync.Mutex
+	down  bool // between a crash and the next start
 	runs  []runEntry
+	lost  int // other requests that were running when it crashed
 }
 
 // runEntry is a request that an endpoint has begun to run.
@@ -63,7 +67,12 @@
 // beatUntilStopped sends a heartbeat every 1.5 s.
 func (e *endpoint) beatUntilStopped() {
 	for {
-		e.beat(e.nextBeat("ready"))
+		e.mutex.Lock()
+		down := e.down
+		e.mutex.Unlock()
+		if !down {
+			e.beat(e.nextBeat("ready"))
+		}
 		select {
 		case <-e.stop:
 			return
@@ -72,6 +81,37 @@
 	}
 }
 
+// crash ends the endpoint without a word and starts it again later, as another incarnation with a new id.
+func (e *endpoint) crash() {
+	e.mutex.Lock()
+	if e.down {
+		e.mutex.Unlock()
+		return
+	}
+	e.down = true
+	old, others := e.server, int(e.inUse.Load())-1
+	e.lost += others
+	e.mutex.Unlock()
+	old.Close()
+	e.run.note("endpoint %s crashes; %d other requests were running", e.id, others)
+	time.Sleep(e.downFor)
+	l, err := net.Listen("tcp", e.run.address(e.node.index, endpointPort))
+	if err != nil {
+		e.run.note("endpoint %s cannot start again: %v", e.id, err)
+		return
+	}
+	e.mutex.Lock()
+	e.id, e.born = e.id+"x", time.Now().UnixMilli()
+	e.sequence.Store(0)
+	e.server = &http.Server{Handler: http.HandlerFunc(e.handle), IdleTimeout: 10 * time.Second}
+	next := e.server
+	e.down = false
+	e.mutex.Unlock()
+	e.run.note("endpoint %s is back", e.id)
+	go next.Serve(l)
+	e.beat(e.nextBeat("ready"))
+}
+
 // stopBeats ends the heartbeats.
 func (e *endpoint) stopBeats() { e.once.Do(func() { close(e.stop) }) }
 
@@ -153,6 +193,11 @@
 	e.runs = append(e.runs, runEntry{at: time.Now(), id: id, path: q.URL.Path, caller: q.Header.Get("Caller-Service"), endpoint: e})
 	e.mutex.Unlock()
 	e.run.note("endpoint %s (%s) runs %s %s %s, Caller-Service %q", e.id, e.service, q.Method, q.URL.Path, id, q.Header.Get("Caller-Service"))
+	if e.crashes != "" && q.URL.Path == e.crashes {
+		go e.crash()
+		<-q.Context().Done()
+		return
+	}
 	wait := e.work
 	if ms, err := strconv.Atoi(q.Header.Get("Deadline-Ms")); err == nil {
 		wait = min(wait, time.Duration(ms)*time.Millisecond)
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -66,6 +66,9 @@
 func (r *run) close() {
 	for _, n := range r.nodes {
 		n.kill()
+		if n.proxy != nil {
+			n.proxy.close()
+		}
 	}
 	for _, e := range r.endpoints {
 		e.exit()
@@ -73,7 +76,9 @@
 	if r.store != nil {
 		r.store.close()
 	}
-	os.RemoveAll(r.folder)
+	if os.Getenv("KEEP") == "" {
+		os.RemoveAll(r.folder)
+	}
 }
 
 // place is where a machine stands.
@@ -89,6 +94,14 @@
 	process *os.Process
 	ended   chan struct{}
 	starts  int
+	proxy   *proxy // of the connections from other machines, or nil
+}
+
+// useProxy puts a proxy of the harness in front of the node's port for links, which moves to the next port.
+func (n *node) useProxy() error {
+	var err error
+	n.proxy, err = newProxy(n.run.address(n.index, linkPort), n.run.address(n.index, linkPort+1))
+	return err
 }
 
 func (r *run) newNode(p place) (*node, error) {
@@ -154,6 +167,9 @@
 	c := exec.Command(filepath.Join(n.run.repository, n.run.program[0]), n.run.program[1:]...)
 	c.Dir, c.Stdout, c.Stderr = n.run.repository, log, log
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "WISTERIASPOKE_BOOT=" + settings}
+	if n.proxy != nil {
+		c.Env = append(c.Env, "WISTERIASPOKE_LISTEN="+n.run.address(n.index, linkPort+1))
+	}
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return err
