--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -47,6 +47,7 @@
 	ExpectedServiceTime int64            `cbor:"23,keyasint,omitempty"` // of such calls in an upstream, in microseconds
 	SentAt              int64            `cbor:"24,keyasint,omitempty"` // milliseconds since the link's start, by the receiver's clock
 	CrashCount          crashcount.Count `cbor:"25,keyasint,omitempty"` // of the request, as known where it was sent
+	KeyHash             []byte           `cbor:"26,keyasint,omitempty"` // of the tenant's key; empty if the route needs none
 }
 
 // New returns a call with the fields, whose slices must not be changed afterwards.
@@ -88,7 +89,10 @@
 // Route returns the name of the matched route.
 func (c Call) Route() string { return c.f.Route }
 
-// Tenant returns the tenant of the route.
+// KeyHash returns the hash of the tenant's key, or nil if the call needs none. It must not be changed.
+func (c Call) KeyHash() []byte { return c.f.KeyHash }
+
+// Tenant returns the tenant of the route, or the name of the tenant whose key the request has.
 func (c Call) Tenant() string { return c.f.Tenant }
 
 // Class returns the class of the route.
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -269,7 +269,7 @@
 	q.tried = append(q.tried, t)
 	c := q.fields
 	c.Service, c.Version, c.Instance = e.Service(), e.Version(), e.Instance()
-	c.Route, c.Priority, c.Idempotent, c.MaxWait = q.rule.Name(), q.rule.Priority(), q.rule.Idempotent(), maxWait.Milliseconds()
+	c.Route, c.Idempotent, c.MaxWait = q.rule.Name(), q.rule.Idempotent(), maxWait.Milliseconds()
 	c.TimeLeft = max(1, remaining(ctx).Milliseconds())
 	c.CrashCount = q.crashCount
 	c.ExpectedServiceTime = q.expectedServiceTime.Microseconds()
@@ -382,7 +382,7 @@
 // logAttributes returns the log attributes of a finished request, the inputs of its last decision among them.
 func (q *request) logAttributes(a answer.Answer) []any {
 	as := []any{
-		"id", q.fields.RequestID, "rule", q.rule.Name(), "rank", q.rule.Priority(), "service", q.service, "caller", q.fields.Caller, "status", a.Status(),
+		"id", q.fields.RequestID, "rule", q.rule.Name(), "rank", q.fields.Priority, "tenant", q.fields.Tenant, "service", q.service, "caller", q.fields.Caller, "status", a.Status(),
 		"ran", a.Ran(), "sends", len(q.tried), "arrivals", q.upstreamSends, "took", time.Since(q.started).Milliseconds(),
 		"expected", q.expectedServiceTime.Milliseconds(),
 	}
--- a/mesh/plan/plan.go
+++ b/mesh/plan/plan.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/rule"
+	"wisteriaspoke.example/mesh/tenant"
 )
 
 // Limits bounds the size and duration of callers' requests.
@@ -22,6 +23,8 @@
 	services    map[string]bool
 	rulesByHost map[string]map[string]*rule.Rule // then by prefix
 	ruleCount   int
+	tenants     []*tenant.Tenant
+	tenantByKey map[string]*tenant.Tenant // by the hash of a key
 }
 
 // New returns a plan with the services and rules.
@@ -43,6 +46,24 @@
 	return p
 }
 
+// WithTenants returns a copy of p whose requests need a key of one of the tenants, unless their rule is public.
+func (p *Plan) WithTenants(ts []*tenant.Tenant) *Plan {
+	c := *p
+	c.tenants, c.tenantByKey = ts, map[string]*tenant.Tenant{}
+	for _, t := range ts {
+		for _, h := range t.KeyHashes() {
+			c.tenantByKey[string(h)] = t
+		}
+	}
+	return &c
+}
+
+// Tenants returns the tenants, which must not be changed; without any, requests need no key.
+func (p *Plan) Tenants() []*tenant.Tenant { return p.tenants }
+
+// TenantByKeyHash returns the tenant that holds the key with the hash, or nil.
+func (p *Plan) TenantByKeyHash(hash []byte) *tenant.Tenant { return p.tenantByKey[string(hash)] }
+
 // Version returns the version number that operators assign, which grows with each change.
 func (p *Plan) Version() uint64 { return p.version }
 
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -27,6 +27,7 @@
 	"wisteriaspoke.example/mesh/pipeliner"
 	"wisteriaspoke.example/mesh/plan"
 	"wisteriaspoke.example/mesh/rule"
+	"wisteriaspoke.example/mesh/tenant"
 	"wisteriaspoke.example/mesh/view"
 )
 
@@ -85,6 +86,9 @@
 type dialect interface {
 	// ParseRequest returns the identifier of a request and how long its caller waits, or zero if not stated.
 	ParseRequest(h http.Header) (id string, timeLeft time.Duration)
+	// TakeKey removes a tenant's key, and a tenant's name that the caller may have set, from the headers of a request and
+	// returns the key, or the empty string.
+	TakeKey(h http.Header) string
 	// SetRefusalHeaders sets the headers of a refusal: the request's identifier, and when to retry unless wait is zero.
 	SetRefusalHeaders(h http.Header, id string, wait time.Duration)
 }
@@ -318,6 +322,10 @@
 	if match == nil {
 		return r.refuse(q, http.StatusNotFound, "no route matches", 0)
 	}
+	t, keyHash, refusal := r.authenticate(q, p, match)
+	if refusal != nil {
+		return refusal
+	}
 	deadline := begun.Add(requestTimeout(match, timeLeft))
 	if end := r.lastEnd.Load(); end != nil && deadline.After(*end) {
 		deadline = *end
@@ -333,6 +341,7 @@
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
 		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
+		Tenant: tenantName(t), KeyHash: keyHash, Priority: priority(t, match),
 	})
 	durationHistogram(match.Name()).Update(time.Since(begun).Milliseconds())
 	if caller.Err() != nil {
@@ -341,6 +350,42 @@
 	return r.response(id, a)
 }
 
+// authenticate returns the tenant whose key the request has and the hash of the key, or nil if the request needs none, or
+// a refusal. If the configuration has tenants, it removes the key from the request.
+func (r *Receiver) authenticate(q *http.Request, p *plan.Plan, match *rule.Rule) (*tenant.Tenant, []byte, *http.Response) {
+	if len(p.Tenants()) == 0 {
+		return nil, nil, nil
+	}
+	hash := tenant.HashKey(r.dialect.TakeKey(q.Header))
+	t := p.TenantByKeyHash(hash)
+	switch {
+	case match.Public():
+		return t, nil, nil
+	case t == nil:
+		return nil, nil, r.refuse(q, http.StatusUnauthorized, "no tenant has the request's key", 0)
+	}
+	return t, hash, nil
+}
+
+func tenantName(t *tenant.Tenant) string {
+	if t == nil {
+		return ""
+	}
+	return t.Name()
+}
+
+// tenantPriorityFactor is the weight of a tenant's priority; that of a rule decides among tenants of the same priority.
+const tenantPriorityFactor = 256
+
+// priority returns the priority of a request; 0 is the most urgent.
+func priority(t *tenant.Tenant, match *rule.Rule) int {
+	own := min(max(0, match.Priority()), tenantPriorityFactor-1)
+	if t == nil {
+		return own
+	}
+	return t.Priority()*tenantPriorityFactor + own
+}
+
 // Abandoned counts and logs a request whose caller hung up before it was forwarded.
 func (r *Receiver) Abandoned(q *http.Request, begun time.Time) {
 	id, _ := r.dialect.ParseRequest(q.Header)
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -34,6 +34,12 @@
 	return f.forward(ctx, c)
 }
 func (f *fakeParts) ParseRequest(h http.Header) (string, time.Duration) { return h.Get("Id"), 0 }
+func (f *fakeParts) TakeKey(h http.Header) string {
+	key := h.Get("Key")
+	h.Del("Key")
+	h.Del("Tenant")
+	return key
+}
 func (f *fakeParts) SetRefusalHeaders(h http.Header, id string, wait time.Duration) {
 	h.Set("Id", id)
 	if wait > 0 {
--- a/mesh/rule/rule.go
+++ b/mesh/rule/rule.go
@@ -15,6 +15,7 @@
 	Prefix     string // begins and ends with a slash
 	Idempotent bool   // a request may run more than once
 	Bulk       bool   // requests or answers have large bodies
+	Public     bool   // requests need no key of a tenant
 	Timeout    time.Duration
 	Objective  time.Duration     // latency objective
 	Attempts   int               // maximum number of endpoints that one request is sent to
@@ -52,6 +53,9 @@
 // Bulk reports whether requests or answers have large bodies.
 func (r *Rule) Bulk() bool { return r.f.Bulk }
 
+// Public reports whether requests need no key of a tenant.
+func (r *Rule) Public() bool { return r.f.Public }
+
 // Timeout returns the longest time until the caller gets an answer, or zero for no limit.
 func (r *Rule) Timeout() time.Duration { return r.f.Timeout }
 
