receiver: requests of a starting node wait for its first configuration

Cause: after a power loss of all hosts the nodes accept callers 0.4 to 0.6 s before they have a configuration. Change: such a request waits for the configuration, 0.8 s and a quarter of its time at most.

--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -28,6 +28,7 @@
 		return &Gossiper{
 			now: time.Now, inputs: make(chan any, inputQueueSize), peers: map[string]*peer{}, records: newRecordSet(),
 			orders: map[string]order.Order{}, deliveries: map[string]*delivery{},
+			planKnown: make(chan struct{}),
 		}
 	})
 }
@@ -132,6 +133,7 @@
 	config            machine.Config
 	inputs            chan any
 	view              atomic.Pointer[view.View]
+	planKnown         chan struct{} // closed when the first view with a plan is published
 	nodes             atomic.Pointer[[]elector.Candidate]
 	storeReachable    atomic.Bool
 	storeLatencyNanos atomic.Int64              // of the store's fastest response; 0 before the first
@@ -200,6 +202,9 @@
 // View returns the view that calls read; it is never nil after Start.
 func (g *Gossiper) View() *view.View { return g.view.Load() }
 
+// PlanKnown returns a channel that is closed once View has a plan.
+func (g *Gossiper) PlanKnown() <-chan struct{} { return g.planKnown }
+
 // Nodes returns the other nodes that have sent a status.
 func (g *Gossiper) Nodes() []elector.Candidate { return *g.nodes.Load() }
 
--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -115,7 +115,7 @@
 	x.crashes = quarantiner.New(slog.New(slog.DiscardHandler))
 	x.Gossiper = &Gossiper{
 		now: time.Now, log: slog.New(slog.DiscardHandler), inputs: make(chan any, inputQueueSize), peers: map[string]*peer{},
-		records: newRecordSet(), orders: map[string]order.Order{}, deliveries: map[string]*delivery{}, sender: x, decoder: x, splitProvider: x, loadProvider: x, withdrawer: x,
+		records: newRecordSet(), orders: map[string]order.Order{}, deliveries: map[string]*delivery{}, planKnown: make(chan struct{}), sender: x, decoder: x, splitProvider: x, loadProvider: x, withdrawer: x,
 		crashHistory: x.crashes,
 		config: machine.Config{
 			Node: address, DataCentre: address[:2], Region: address[:1], Incarnation: uint64(time.Now().UnixMilli()),
--- a/mesh/gossiper/publish.go
+++ b/mesh/gossiper/publish.go
@@ -19,9 +19,13 @@
 	if g.own.status != nil && g.own.status.Endpoint != nil && !g.leaving.Load() {
 		ts = append(ts, g.newTarget(*g.own.status.Endpoint, &g.own))
 	}
+	first := g.plan != nil && g.View().Plan() == nil
 	g.view.Store(composer.Compose(composer.Input{
 		Plan: g.plan, PlanSince: g.planSince, Targets: ts, Split: g.splitProvider.Split,
 	}))
+	if first {
+		close(g.planKnown)
+	}
 }
 
 func (g *Gossiper) newTarget(e endpoint.Endpoint, p *peer) *target.Target {
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -55,6 +55,10 @@
 	stoppingWait = 50 * time.Millisecond
 	// overloadedWait is the Retry-After of requests that are refused because this node holds too many bodies.
 	overloadedWait = 250 * time.Millisecond
+	// maxPlanWait is how long a request waits for the first configuration of a node that has just started, and
+	// maxPlanWaitFraction how much of its time. All nodes have one some 0.5 s after a start of the whole mesh.
+	maxPlanWait         = 800 * time.Millisecond
+	maxPlanWaitFraction = 0.25
 	// acceptPause is the pause after a failed accept, for example without free file descriptors.
 	acceptPause = 20 * time.Millisecond
 )
@@ -74,6 +78,8 @@
 type viewSource interface {
 	// View returns the current state.
 	View() *view.View
+	// PlanKnown returns a channel that is closed once View has a configuration.
+	PlanKnown() <-chan struct{}
 }
 
 // identity provides the service of the local upstream.
@@ -313,7 +319,7 @@
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	id, timeLeft := r.dialect.ParseRequest(q.Header)
-	v := r.views.View()
+	v := r.awaitPlan(ctx, timeLeft)
 	p := v.Plan()
 	if p == nil {
 		return r.refuse(q, http.StatusServiceUnavailable, "no configuration is known yet", time.Second)
@@ -350,6 +356,26 @@
 	return r.response(id, a)
 }
 
+// awaitPlan returns the current view. While the node has no configuration, it waits for one: callers give up after a few
+// attempts, and a refusal would use up one of them.
+func (r *Receiver) awaitPlan(ctx context.Context, timeLeft time.Duration) *view.View {
+	if v := r.views.View(); v.Plan() != nil || r.draining.Load() {
+		return v
+	}
+	wait := maxPlanWait
+	if timeLeft > 0 {
+		wait = min(wait, time.Duration(maxPlanWaitFraction*float64(timeLeft)))
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-r.views.PlanKnown():
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return r.views.View()
+}
+
 // authenticate returns the tenant whose key the request has and the hash of the key, or nil if the request needs none, or
 // a refusal. If the configuration has tenants, it removes the key from the request.
 func (r *Receiver) authenticate(q *http.Request, p *plan.Plan, match *rule.Rule) (*tenant.Tenant, []byte, *http.Response) {
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -24,12 +24,14 @@
 
 // fakeParts implements the parts that the receiver depends on.
 type fakeParts struct {
-	plan    *plan.Plan
-	forward func(ctx context.Context, c call.Fields) answer.Answer
+	plan      *plan.Plan
+	planKnown chan struct{} // nil if no plan becomes known
+	forward   func(ctx context.Context, c call.Fields) answer.Answer
 }
 
-func (f *fakeParts) View() *view.View { return view.New(f.plan, time.Time{}, nil) }
-func (f *fakeParts) Service() string  { return "own" }
+func (f *fakeParts) View() *view.View           { return view.New(f.plan, time.Time{}, nil) }
+func (f *fakeParts) PlanKnown() <-chan struct{} { return f.planKnown }
+func (f *fakeParts) Service() string            { return "own" }
 func (f *fakeParts) Forward(ctx context.Context, _ *view.View, _ *rule.Rule, c call.Fields) answer.Answer {
 	return f.forward(ctx, c)
 }
