slotter: tenants of one priority get slots in turn

Cause: waiting calls were ordered by priority and latest start alone, so a tenant that sends many calls kept the others behind all of them. Change: among waiting calls of the highest priority, the tenant that has got the fewest slots since the queue was last empty is next. Without tenants the order is as before. Test: TestLoads/one-tenant-sends-many.

--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -177,7 +177,7 @@
 		deadline = begin.Add(time.Minute)
 	}
 	request := slotter.Request{
-		Priority: c.Priority(), Deadline: deadline, LatestStart: begin.Add(time.Duration(c.LatestStart()) * time.Millisecond),
+		Priority: c.Priority(), Tenant: c.Tenant(), Deadline: deadline, LatestStart: begin.Add(time.Duration(c.LatestStart()) * time.Millisecond),
 		MaxWait: time.Duration(c.MaxWait()) * time.Millisecond,
 	}
 	if refusal, wait := b.slotter.Acquire(ctx, request); refusal != "" {
--- a/mesh/slotter/queue.go
+++ b/mesh/slotter/queue.go
@@ -8,11 +8,12 @@
 // waiter is a call that waits for a slot.
 type waiter struct {
 	priority    int
+	tenant      string
 	latestStart time.Time
 	result      chan Refusal // receives the result once
 }
 
-// before reports whether a gets a slot before b: by priority, then by latest start.
+// before reports whether a precedes b in the queue: by priority, then by latest start.
 func before(a, b *waiter) bool {
 	if a.priority != b.priority {
 		return a.priority < b.priority
@@ -20,9 +21,25 @@
 	return a.latestStart.Before(b.latestStart)
 }
 
-// queue holds waiting calls in the order in which they get slots. It is not safe for concurrent use.
+// queue holds waiting calls by priority and latest start. It is not safe for concurrent use.
 type queue struct {
 	waiters []*waiter
+	granted map[string]int // slots that each tenant's waiting calls have got since the queue was last empty
+}
+
+// next returns the index of the call that gets the next slot: among those of the highest priority the first one of the
+// tenant that has got the fewest, so that one tenant with many calls does not keep the others waiting.
+func (q *queue) next() int {
+	best := 0
+	for i, w := range q.waiters {
+		if w.priority != q.waiters[0].priority {
+			break
+		}
+		if q.granted[w.tenant] < q.granted[q.waiters[best].tenant] {
+			best = i
+		}
+	}
+	return best
 }
 
 func (q *queue) length() int { return len(q.waiters) }
@@ -43,9 +60,19 @@
 
 func (q *queue) push(w *waiter) { q.waiters = slices.Insert(q.waiters, q.position(w), w) }
 
+// pop removes the call that gets the next slot.
 func (q *queue) pop() *waiter {
-	w := q.waiters[0]
-	q.waiters = slices.Delete(q.waiters, 0, 1)
+	i := q.next()
+	w := q.waiters[i]
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	if len(q.waiters) == 0 {
+		q.granted = nil
+		return w
+	}
+	if q.granted == nil {
+		q.granted = map[string]int{}
+	}
+	q.granted[w.tenant]++
 	return w
 }
 
@@ -56,5 +83,8 @@
 		return false
 	}
 	q.waiters = slices.Delete(q.waiters, i, i+1)
+	if len(q.waiters) == 0 {
+		q.granted = nil
+	}
 	return true
 }
--- a/mesh/slotter/slotter.go
+++ b/mesh/slotter/slotter.go
@@ -32,6 +32,7 @@
 // Request holds the properties of a call that decide when it gets a slot.
 type Request struct {
 	Priority    int           // 0 is the most urgent
+	Tenant      string        // tenants of one priority get slots in turn
 	Deadline    time.Time     // when the caller stops waiting
 	LatestStart time.Time     // latest start that meets the latency objective
 	MaxWait     time.Duration // longest wait for a slot; 0 if only Deadline and LatestStart limit it
@@ -136,7 +137,7 @@
 }
 
 func (s *Slotter) wait(ctx context.Context, r Request, now time.Time) (Refusal, time.Duration) {
-	w := &waiter{priority: r.Priority, latestStart: r.LatestStart, result: make(chan Refusal, 1)}
+	w := &waiter{priority: r.Priority, tenant: r.Tenant, latestStart: r.LatestStart, result: make(chan Refusal, 1)}
 	s.mutex.Lock()
 	expected := s.queue.expectedWait(w, s.MeanServiceTime(), s.Slots())
 	full := Full
--- a/mesh/slotter/slotter_test.go
+++ b/mesh/slotter/slotter_test.go
@@ -16,6 +16,7 @@
 	name        string
 	at          time.Duration
 	priority    int
+	tenant      string
 	deadline    time.Duration // after the arrival
 	latestStart time.Duration // after the arrival
 	maxWait     time.Duration
@@ -40,7 +41,7 @@
 			defer func() { ends <- struct{}{} }()
 			time.Sleep(a.at)
 			now := time.Now()
-			refusal, wait := s.Acquire(context.Background(), Request{Priority: a.priority, Deadline: now.Add(a.deadline), LatestStart: now.Add(a.latestStart), MaxWait: a.maxWait})
+			refusal, wait := s.Acquire(context.Background(), Request{Priority: a.priority, Tenant: a.tenant, Deadline: now.Add(a.deadline), LatestStart: now.Add(a.latestStart), MaxWait: a.maxWait})
 			lines[i] = fmt.Sprintf("%-8s at %4v: ", a.name, a.at.Milliseconds())
 			if refusal != "" {
 				lines[i] += fmt.Sprintf("refused %s after %d ms, room in %d ms", refusal, time.Since(now).Milliseconds(), wait.Milliseconds())
@@ -85,6 +86,11 @@
 		{"max-wait-too-short", []arrival{
 			call("running", 0, nil), call("short", 1, func(a *arrival) { a.maxWait = 20 * ms }), call("long", 2, func(a *arrival) { a.maxWait = 200 * ms }),
 		}},
+		{"one-tenant-sends-many", []arrival{ // the others get a slot in turn, not behind all calls of the first
+			call("running", 0, nil), call("hot-1", 1, func(a *arrival) { a.tenant = "hot" }), call("hot-2", 2, func(a *arrival) { a.tenant = "hot" }),
+			call("hot-3", 3, func(a *arrival) { a.tenant = "hot"; a.latestStart = 450 * ms }), call("small-1", 4, func(a *arrival) { a.tenant = "small"; a.latestStart = 500 * ms }),
+			call("urgent", 5, func(a *arrival) { a.tenant = "hot"; a.priority = 0; a.latestStart = 600 * ms }),
+		}},
 		{"deadline-too-soon", []arrival{
 			call("running", 0, nil), call("near", 1, func(a *arrival) { a.deadline = 120 * ms }),
 		}},
