forwarder: the last send of a request may wait for a slot

Cause: a send may wait only until the second-best endpoint would be better, which is some 10 to 60 ms among equal endpoints. Change: the last of the four sends waits as long as the latest start allows, as the last endpoint already did.

--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -184,8 +184,9 @@
 			return f.fail(q, refusal(reasonAllInBackoff, max(defaultRetryAfter, choice.ExpectedWait())))
 		}
 		maxWait := choice.MaxWait()
-		if choice.NoAlternative() {
-			// 0 means no wait limit of its own: only the deadline and the latest start limit the wait.
+		if choice.NoAlternative() || len(q.tried) == maxSends-1 {
+			// 0 means no wait limit of its own: only the deadline and the latest start limit the wait. The last send has no
+			// other endpoint to go to, and a refusal of it would end the request although there is time left.
 			maxWait = 0
 		}
 		a, t := f.sendWithHedge(ctx, q, t, maxWait, targets, budget)
