revalidator, gossiper, watcher, runner: requests with revoked keys are refused

Cause: a key that the store no longer has was accepted for as long as a node did not hear of the change, and a request that waited ran with a key that was revoked meanwhile. The receiver refuses requests with a key while the proof is too old, and the runner checks key and proof before and after the wait for a slot. A read whose records do not fit the gossiper's queue is repeated as a list; its records were lost before.

--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -48,6 +48,7 @@
 	SentAt              int64            `cbor:"24,keyasint,omitempty"` // milliseconds since the link's start, by the receiver's clock
 	CrashCount          crashcount.Count `cbor:"25,keyasint,omitempty"` // of the request, as known where it was sent
 	KeyHash             []byte           `cbor:"26,keyasint,omitempty"` // of the tenant's key; empty if the route needs none
+	KeyVersion          uint64           `cbor:"27,keyasint,omitempty"` // of the configuration that has the key; 0 if keys are not checked again
 }
 
 // New returns a call with the fields, whose slices must not be changed afterwards.
@@ -92,6 +93,9 @@
 // KeyHash returns the hash of the tenant's key, or nil if the call needs none. It must not be changed.
 func (c Call) KeyHash() []byte { return c.f.KeyHash }
 
+// KeyVersion returns the version of the configuration that has the key, or 0 if the key is not checked again.
+func (c Call) KeyVersion() uint64 { return c.f.KeyVersion }
+
 // Tenant returns the tenant of the route, or the name of the tenant whose key the request has.
 func (c Call) Tenant() string { return c.f.Tenant }
 
--- a/mesh/elector/elector.go
+++ b/mesh/elector/elector.go
@@ -12,6 +12,8 @@
 // Candidate is a node that may be elected, as seen by the node that ranks it.
 type Candidate struct {
 	Address        string
+	Region         string
+	Incarnation    uint64        // tells one run of the node from another
 	StoreReachable bool          // as reported by the node itself
 	StoreLatency   time.Duration // shortest response time of the store
 	StoreFailedAt  time.Time     // last failed call to the store, or zero; matters only while the store is not reachable
--- a/mesh/forwarder/decide.go
+++ b/mesh/forwarder/decide.go
@@ -7,6 +7,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/crashcount"
 	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/tenant"
 )
 
 // action is the next step after an answer.
@@ -45,7 +46,7 @@
 		return deliver
 	}
 	tooShort := float64(s.timeLeft) < minRunFraction*float64(s.expectedServiceTime)
-	if tooShort || !s.hasUntried || s.sends >= maxSends || s.crashCount.Quarantined() || a.Reason() == crashcount.Refused {
+	if tooShort || !s.hasUntried || s.sends >= maxSends || s.crashCount.Quarantined() || refusedForGood(a) {
 		return finalAction(a)
 	}
 	if a.Ran() == answer.No && !reachedUpstream(a) {
@@ -57,6 +58,11 @@
 	return retry
 }
 
+// refusedForGood reports whether other endpoints would refuse the request for the same reason.
+func refusedForGood(a answer.Answer) bool {
+	return a.Reason() == crashcount.Refused || a.Reason() == tenant.Refused
+}
+
 func finalAction(a answer.Answer) action {
 	if a.Ran() == answer.Yes {
 		return deliver
--- a/mesh/forwarder/decide_test.go
+++ b/mesh/forwarder/decide_test.go
@@ -11,6 +11,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/crashcount"
 	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/tenant"
 )
 
 // TestNextAction guards against a second run of a request that is not idempotent, against retries beyond the budget,
@@ -49,6 +50,8 @@
 		{"refused by the node, two crashes before", full, func(s *decisionInput) { s.crashCount = 2 }},
 		{"refused by the node, three crashes before", full, func(s *decisionInput) { s.crashCount = 3 }},
 		{"refused as poison by the node", answer.Fields{Status: 503, Ran: answer.No, Reason: crashcount.Refused}, nil},
+		{"key revoked", answer.Fields{Status: 503, Ran: answer.No, Reason: tenant.Refused}, nil},
+		{"key unknown to an older configuration", answer.Fields{Status: 503, Ran: answer.No, Reason: "stale"}, nil},
 		{"no other endpoint", full, func(s *decisionInput) { s.hasUntried = false }},
 	}
 	var out strings.Builder
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -332,7 +332,7 @@
 	bad := endpointFailed(a)
 	switch {
 	case a.Ran() == answer.No:
-		if couldWait && a.Reason() != crashcount.Refused {
+		if couldWait && !refusedForGood(a) {
 			wait := time.Duration(a.RetryAfter()) * time.Millisecond
 			g.BackOff(q.rule.Bulk(), now.Add(min(maxBackoff, max(minBackoff, wait/2))))
 		}
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -129,6 +129,7 @@
 	withdrawer        withdrawer
 	crashHistory      crashHistory
 	orderObservers    []orderObserver
+	prover            prover // nil if no part uses proofs
 	config            machine.Config
 	inputs            chan any
 	view              atomic.Pointer[view.View]
@@ -152,6 +153,7 @@
 	heartbeatsSentAt time.Time            // when heartbeats were last sent to other regions
 	deliveries       map[string]*delivery // by region, on nodes that read records from the store
 	viewStale        bool
+	planObject       planObject // in the store
 }
 
 // Inputs of the goroutine besides events and messages.
@@ -189,6 +191,7 @@
 		return nil, err
 	}
 	g.config, g.log, g.orderObservers = own.Config(), k.Log, kernel.All[orderObserver](k)
+	g.prover = findProver(k)
 	g.own = peer{address: g.config.Node, linked: true}
 	g.view.Store(view.New(nil, time.Time{}, nil))
 	g.nodes.Store(&[]elector.Candidate{})
@@ -210,7 +213,7 @@
 // Self returns this node as a candidate.
 func (g *Gossiper) Self() elector.Candidate {
 	c := elector.Candidate{
-		Address: g.config.Node, StoreReachable: g.storeReachable.Load(),
+		Address: g.config.Node, Region: g.config.Region, Incarnation: g.config.Incarnation, StoreReachable: g.storeReachable.Load(),
 		StoreLatency: time.Duration(g.storeLatencyNanos.Load()), Alive: true,
 	}
 	if failedAt := g.storeFailedAt.Load(); failedAt != nil {
@@ -330,6 +333,8 @@
 	case storeRecords:
 		g.forwardRecords(g.applyNewer(g.compressSpecs(in)), g.config.Region, "")
 		g.expectDeliveries()
+	case storeRead:
+		g.handleRead(in)
 	case storeAddresses:
 		for _, a := range in {
 			g.ensurePeer(a)
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -39,7 +39,8 @@
 // candidate returns the peer as a candidate for election; the peer must have a status.
 func (p *peer) candidate(now time.Time, interval time.Duration) elector.Candidate {
 	c := elector.Candidate{
-		Address: p.address, StoreReachable: p.status.StoreReachable, StoreFailedAt: p.storeFailedAt,
+		Address: p.address, Region: p.status.Region, Incarnation: p.status.Incarnation,
+		StoreReachable: p.status.StoreReachable, StoreFailedAt: p.storeFailedAt,
 		StoreLatency: time.Duration(p.status.StoreLatency) * time.Millisecond, Alive: p.reachable(now, interval),
 	}
 	if p.status.Leaving {
--- a/mesh/gossiper/records.go
+++ b/mesh/gossiper/records.go
@@ -78,8 +78,10 @@
 	}
 	if err != nil {
 		g.log.Error("configuration refused", "revision", r.Revision, "error", err)
+		g.planObject.refuse(r.Name)
 		return
 	}
+	g.planObject.accept(r.Name)
 	if g.plan != nil && p.Version() <= g.plan.Version() {
 		g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "revision", r.Revision)
 		return
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -55,6 +56,10 @@
 	stoppingWait = 50 * time.Millisecond
 	// overloadedWait is the Retry-After of requests that are refused because this node holds too many bodies.
 	overloadedWait = 250 * time.Millisecond
+	// minStaleWait and maxStaleWait bound the Retry-After of requests that are refused because the configuration may be out of
+	// date. Nodes read the store about every second then.
+	minStaleWait = 400 * time.Millisecond
+	maxStaleWait = 1200 * time.Millisecond
 	// acceptPause is the pause after a failed accept, for example without free file descriptors.
 	acceptPause = 20 * time.Millisecond
 )
@@ -82,6 +87,14 @@
 	Service() string
 }
 
+// freshness judges how old the configuration may be.
+type freshness interface {
+	// Enabled reports whether requests with a key depend on how old the configuration may be.
+	Enabled() bool
+	// Fresh reports whether requests with a key may run by a configuration of the version; it must not block.
+	Fresh(version uint64) bool
+}
+
 // dialect reads and writes the platform's headers of requests and responses.
 type dialect interface {
 	// ParseRequest returns the identifier of a request and how long its caller waits, or zero if not stated.
@@ -110,6 +123,7 @@
 	forwarder   forwarder
 	views       viewSource
 	identity    identity
+	proofs      freshness
 	dialect     dialect
 	bodyBuffer  int64 // bytes of request bodies that may be in memory
 	listener    *net.TCPListener
@@ -146,6 +160,9 @@
 	if r.identity, err = kernel.Need[identity](k); err != nil {
 		return nil, err
 	}
+	if r.proofs, err = kernel.Need[freshness](k); err != nil {
+		return nil, err
+	}
 	if r.dialect, err = kernel.Need[dialect](k); err != nil {
 		return nil, err
 	}
@@ -341,7 +358,7 @@
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
 		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
-		Tenant: tenantName(t), KeyHash: keyHash, Priority: priority(t, match),
+		Tenant: tenantName(t), KeyHash: keyHash, KeyVersion: r.keyVersion(p, keyHash), Priority: priority(t, match),
 	})
 	durationHistogram(match.Name()).Update(time.Since(begun).Milliseconds())
 	if caller.Err() != nil {
@@ -361,12 +378,27 @@
 	switch {
 	case match.Public():
 		return t, nil, nil
+	case !r.proofs.Fresh(p.Version()):
+		// An unknown key may be a new one.
+		return nil, nil, r.refuse(q, http.StatusServiceUnavailable, "the configuration may be out of date", staleWait())
 	case t == nil:
 		return nil, nil, r.refuse(q, http.StatusUnauthorized, "no tenant has the request's key", 0)
 	}
 	return t, hash, nil
 }
 
+// keyVersion returns the version of the configuration that has the key, or 0 if endpoints do not check keys.
+func (r *Receiver) keyVersion(p *plan.Plan, keyHash []byte) uint64 {
+	if len(keyHash) == 0 || !r.proofs.Enabled() {
+		return 0
+	}
+	return p.Version()
+}
+
+// staleWait returns the Retry-After of a request that is refused because the configuration may be out of date. It is spread,
+// as all requests with a key are refused then.
+func staleWait() time.Duration { return minStaleWait + rand.N(maxStaleWait-minStaleWait) }
+
 func tenantName(t *tenant.Tenant) string {
 	if t == nil {
 		return ""
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -26,8 +26,13 @@
 type fakeParts struct {
 	plan    *plan.Plan
 	forward func(ctx context.Context, c call.Fields) answer.Answer
+	revoke  bool // keys depend on how old the configuration may be
+	stale   bool // it may be too old
 }
 
+func (f *fakeParts) Enabled() bool     { return f.revoke }
+func (f *fakeParts) Fresh(uint64) bool { return !f.stale }
+
 func (f *fakeParts) View() *view.View { return view.New(f.plan, time.Time{}, nil) }
 func (f *fakeParts) Service() string  { return "own" }
 func (f *fakeParts) Forward(ctx context.Context, _ *view.View, _ *rule.Rule, c call.Fields) answer.Answer {
@@ -60,7 +65,7 @@
 // startOn serves on a listener until the test ends.
 func startOn(t *testing.T, f *fakeParts, l net.Listener) *Receiver {
 	t.Helper()
-	r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, dialect: f, Ahead: 8, Held: 1 << 20, bodyBuffer: 1 << 20, Stall: 10 * time.Second}
+	r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, proofs: f, dialect: f, Ahead: 8, Held: 1 << 20, bodyBuffer: 1 << 20, Stall: 10 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	end := r.serve(ctx, l.(*net.TCPListener))
 	t.Cleanup(func() {
--- /dev/null
+++ b/mesh/revalidator/revalidator.go
@@ -0,0 +1,287 @@
+package revalidator
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"wisteriaspoke.example/mesh/clock"
+	"wisteriaspoke.example/mesh/elector"
+	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/machine"
+	"wisteriaspoke.example/mesh/message"
+	"wisteriaspoke.example/mesh/record"
+	"wisteriaspoke.example/mesh/view"
+)
+
+func init() {
+	kernel.Register("revalidator", 48, func() kernel.Part {
+		return &Revalidator{inputs: make(chan any, inputQueueSize), readErrors: make(chan error, 1)}
+	})
+}
+
+const (
+	// tickInterval is the interval at which reads and messages that are due are looked for.
+	tickInterval = 100 * time.Millisecond
+	// forgetInterval is the interval at which nodes that are gone are forgotten.
+	forgetInterval = 30 * time.Second
+	// readTimeout bounds a read of the store; other nodes read it meanwhile.
+	readTimeout = 1500 * time.Millisecond
+	// minRevoke is the lowest value of --revoke: a read of the store and its way to other regions must fit into the part of it
+	// that is left when nodes begin to read.
+	minRevoke = time.Second
+	// inputQueueSize holds the messages of a second from a thousand nodes. A lost one makes a proof older.
+	inputQueueSize = 2048
+)
+
+var (
+	proofAge      = metrics.GetOrRegisterGauge("proof.age.ms", nil)
+	proofsIgnored = metrics.GetOrRegisterGauge("proof.incomparable", nil)
+	proofReads    = metrics.GetOrRegisterCounter("proof.reads", nil)
+	inputsDropped = metrics.GetOrRegisterCounter("proof.dropped", nil)
+	storeCalls    = metrics.GetOrRegisterCounter("store.calls", nil)
+	storeFailures = metrics.GetOrRegisterCounter("store.failures", nil)
+)
+
+// store is the platform's store of objects.
+type store interface {
+	// List returns all objects of the kind and the revision of the list; cheap allows a stale list.
+	List(ctx context.Context, kind record.Kind, cheap bool) (rs []record.Record, at uint64, err error)
+}
+
+// cluster provides the other nodes and applies what was read from the store.
+type cluster interface {
+	// AddRead adds the result of a read of the configuration that began at the time by this host's boot-time clock; it does
+	// not block.
+	AddRead(rs []record.Record, began time.Duration) bool
+	// SetStoreReachable sets whether the store responds and the response time, or zero if none was measured.
+	SetStoreReachable(reachable bool, latency time.Duration)
+	// Nodes returns the other known nodes.
+	Nodes() []elector.Candidate
+	// View returns the current state.
+	View() *view.View
+}
+
+// peerSender sends messages to one node.
+type peerSender interface {
+	// Send queues m for the node at address peer without blocking.
+	Send(peer string, m message.Message)
+}
+
+// configSource provides this node's identity and location.
+type configSource interface {
+	// Config returns this node's settings.
+	Config() machine.Config
+}
+
+// Revalidator keeps proofs of how fresh this node's configuration is. One goroutine owns its state; requests read the proofs
+// through one atomic pointer.
+type Revalidator struct {
+	Revoke time.Duration `help:"Time after which no request with a revoked key runs; requests with a key are refused while the configuration may be older. 0 for no such limit." default:"0" env:"WISTERIASPOKE_REVOKE"`
+
+	log         *slog.Logger
+	store       store
+	cluster     cluster
+	distributor *distributor
+	started     atomic.Pointer[distributor] // distributor, for requests that arrive before it is set
+	inputs      chan any                    // peerMessage or proof
+	readErrors  chan error
+
+	// Only the goroutine of run uses the fields below.
+	refusing     bool // requests with a key are refused
+	refusedSince time.Duration
+	forgotAt     time.Duration
+}
+
+// peerMessage is a message from the node at address peer.
+type peerMessage struct {
+	peer string
+	m    message.Message
+}
+
+// Check returns an error for an invalid setting, with its remedy.
+func (r *Revalidator) Check() error {
+	if r.Revoke != 0 && r.Revoke < minRevoke {
+		return fault.New(fault.Invalid, "--revoke is below "+minRevoke.String(), "set it to 0 for no limit, or to a time such as 5s")
+	}
+	return nil
+}
+
+// Start starts the goroutine that keeps the proofs, if --revoke is set.
+func (r *Revalidator) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	if !r.Enabled() {
+		return nil, nil
+	}
+	var err error
+	if r.store, err = kernel.Need[store](k); err != nil {
+		return nil, err
+	}
+	if r.cluster, err = kernel.Need[cluster](k); err != nil {
+		return nil, err
+	}
+	sender, err := kernel.Need[peerSender](k)
+	if err != nil {
+		return nil, err
+	}
+	own, err := kernel.Need[configSource](k)
+	if err != nil {
+		return nil, err
+	}
+	c := own.Config()
+	r.log = k.Log
+	d := newDistributor(c.Node, c.Region, c.Incarnation, r.Revoke, clock.Clock{}.Now)
+	d.random, d.send, d.nodes = rand.Float64, sender.Send, r.cluster.Nodes
+	r.distributor = d
+	r.started.Store(d)
+	end := make(chan error, 1)
+	go func() { end <- r.run(ctx) }()
+	return end, nil
+}
+
+// Enabled reports whether proofs are kept and checked.
+func (r *Revalidator) Enabled() bool { return r.Revoke > 0 }
+
+// Fresh reports whether requests with a key may run by a configuration of the version: it is certain that no newer one was
+// acknowledged by the store before some time that is below --revoke.
+func (r *Revalidator) Fresh(version uint64) bool {
+	if !r.Enabled() {
+		return true
+	}
+	d := r.started.Load()
+	return d != nil && d.fresh(version)
+}
+
+// Prove records that a read of the store which began at the time, by this host's boot-time clock, found no configuration
+// newer than the version.
+func (r *Revalidator) Prove(began time.Duration, version uint64) {
+	if r.Enabled() {
+		r.enqueue(proof{moment: began, version: version})
+	}
+}
+
+// Handle queues the messages of this part and reports whether m is one.
+func (r *Revalidator) Handle(peer string, m message.Message) bool {
+	if m.Kind() != kindStamp && m.Kind() != kindProof {
+		return false
+	}
+	if r.Enabled() {
+		r.enqueue(peerMessage{peer, m})
+	}
+	return true
+}
+
+func (r *Revalidator) enqueue(input any) {
+	select {
+	case r.inputs <- input:
+	default:
+		inputsDropped.Inc(1)
+	}
+}
+
+func (r *Revalidator) run(ctx context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	defer func() {
+		if r.distributor.reading {
+			<-r.readErrors
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case in := <-r.inputs:
+			r.handleInput(in)
+		case err := <-r.readErrors:
+			r.distributor.reading = false
+			if err != nil && ctx.Err() == nil {
+				r.log.Warn("store call failed", "call", "list "+string(record.Configuration)+" for a proof", "kind", fault.KindOf(err), "error", err)
+			}
+		case <-t.C:
+			r.tick(ctx)
+		}
+	}
+}
+
+func (r *Revalidator) handleInput(input any) {
+	switch in := input.(type) {
+	case proof:
+		r.distributor.handleOwn(in)
+	case peerMessage:
+		switch b := in.m.Body().(type) {
+		case *stamp:
+			r.distributor.handleStamp(in.peer, b)
+		case *proofMessage:
+			r.distributor.handleProof(in.peer, b)
+		}
+	}
+}
+
+func (r *Revalidator) tick(ctx context.Context) {
+	p := r.cluster.View().Plan()
+	version := uint64(0)
+	if p != nil {
+		version = p.Version()
+	}
+	if r.distributor.tick(version, p != nil) {
+		proofReads.Inc(1)
+		go func() { r.readErrors <- r.read(ctx) }()
+	}
+	if p != nil {
+		r.report(version, len(p.Tenants()) > 0)
+	}
+	if now := r.distributor.now(); now-r.forgotAt >= forgetInterval {
+		r.forgotAt = now
+		r.distributor.forget()
+	}
+}
+
+// read lists the configuration, whose proof comes through the cluster after the records have been applied.
+func (r *Revalidator) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	storeCalls.Inc(1)
+	began, start := r.distributor.now(), time.Now()
+	rs, _, err := r.store.List(ctx, record.Configuration, false)
+	if ctx.Err() == context.Canceled {
+		return ctx.Err()
+	}
+	if err != nil {
+		storeFailures.Inc(1)
+		r.cluster.SetStoreReachable(false, 0)
+		return err
+	}
+	r.cluster.SetStoreReachable(true, time.Since(start))
+	r.cluster.AddRead(rs, began)
+	return nil
+}
+
+// report updates the metrics and logs the start and the end of each period in which requests with a key are refused.
+func (r *Revalidator) report(version uint64, keysNeeded bool) {
+	d := r.distributor
+	now := d.now()
+	age, known := d.age(version)
+	if !known {
+		age = now - d.startAt
+	}
+	proofAge.Update(age.Milliseconds())
+	proofsIgnored.Update(d.incomparable)
+	refusing := keysNeeded && !d.fresh(version)
+	if refusing == r.refusing {
+		return
+	}
+	r.refusing = refusing
+	if refusing {
+		r.refusedSince = now
+		r.log.Warn("requests with a key are refused, as the configuration may be out of date", "version", version, "proven", known,
+			"age", age.Milliseconds(), "bound", d.part(freshFraction).Milliseconds())
+		return
+	}
+	r.log.Info("requests with a key are accepted", "version", version, "age", age.Milliseconds(),
+		"refused", (now - r.refusedSince).Milliseconds())
+}
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -112,6 +112,8 @@
 	tracker        upstreamTracker
 	dialect        exchanger.Dialect
 	crashes        crashCounter
+	views          viewSource
+	proofs         freshness
 	responseBuffer int64 // bytes of responses that are being read
 	backend        atomic.Pointer[backend]
 }
@@ -128,6 +130,12 @@
 	if r.crashes, err = kernel.Need[crashCounter](k); err != nil {
 		return nil, err
 	}
+	if r.views, err = kernel.Need[viewSource](k); err != nil {
+		return nil, err
+	}
+	if r.proofs, err = kernel.Need[freshness](k); err != nil {
+		return nil, err
+	}
 	memory, err := kernel.Need[memoryLimiter](k)
 	if err != nil {
 		return nil, err
@@ -169,7 +177,7 @@
 func (r *Runner) Serve(ctx context.Context, c call.Call) answer.Answer {
 	b := r.backend.Load()
 	if reason := r.check(ctx, c, b); reason != "" {
-		return r.refuse(c, b, reason, 0)
+		return r.refuse(c, b, reason, waitAfter(reason))
 	}
 	begin := time.Now()
 	deadline, ok := ctx.Deadline()
@@ -188,7 +196,7 @@
 	// The upstream or the caller may be gone after the wait.
 	if reason := r.check(ctx, c, b); reason != "" {
 		b.slotter.Release(0)
-		return r.refuse(c, b, reason, 0)
+		return r.refuse(c, b, reason, waitAfter(reason))
 	}
 	count, refusedFor := r.crashes.Assess(c)
 	if refusedFor > 0 {
@@ -299,7 +307,7 @@
 	case u.State() == endpoint.Suspect && !u.MayRetry(time.Now()):
 		return reasonSuspect
 	}
-	return ""
+	return r.checkKey(c)
 }
 
 func (r *Runner) refuse(c call.Call, b *backend, reason string, wait time.Duration) answer.Answer {
--- a/mesh/tenant/tenant.go
+++ b/mesh/tenant/tenant.go
@@ -5,6 +5,9 @@
 // keyHashBytes is the length of a key's hash, which calls carry between nodes.
 const keyHashBytes = 16
 
+// Refused is the reason of the refusals of calls whose key the configuration of the endpoint's node no longer has.
+const Refused = "key"
+
 // Fields are the values of a Tenant.
 type Fields struct {
 	Name          string
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
+	"wisteriaspoke.example/mesh/clock"
 	"wisteriaspoke.example/mesh/elector"
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/kernel"
@@ -83,6 +84,9 @@
 type cluster interface {
 	// AddRecords adds records from the store; it does not block.
 	AddRecords(rs []record.Record)
+	// AddRead adds the result of a read of the configuration that began at the time by this host's boot-time clock. It
+	// reports false if the result was lost; it does not block.
+	AddRead(rs []record.Record, began time.Duration) bool
 	// AddAddresses adds addresses of nodes; it does not block.
 	AddAddresses(addresses []string)
 	// SetStoreReachable sets whether the store responds and the response time, or zero if none was measured.
@@ -244,6 +248,7 @@
 ) (changed bool, err error) {
 	var rs []record.Record
 	var next uint64
+	began := clock.Clock{}.Now()
 	if *at == 0 {
 		err = w.callStore(ctx, "list "+string(kind), func(ctx context.Context) error {
 			rs, next, err = w.store.List(ctx, kind, false)
@@ -263,8 +268,14 @@
 		return false, err
 	}
 	*at = next
-	if len(rs) > 0 {
-		w.cluster.AddRecords(rs)
+	if kind != record.Configuration {
+		if len(rs) > 0 {
+			w.cluster.AddRecords(rs)
+		}
+	} else if !w.cluster.AddRead(rs, began) {
+		// Later watches do not return the lost records.
+		*at = 0
+		return false, fault.New(fault.Unavailable, "the records of a read were lost, as the gossiper is too busy", "give the node more of a core")
 	}
 	return len(rs) > 0, nil
 }
--- a/mesh/watcher/watcher_test.go
+++ b/mesh/watcher/watcher_test.go
@@ -152,6 +152,11 @@
 	}
 }
 
+func (f *fakeCluster) AddRead(rs []record.Record, _ time.Duration) bool {
+	f.AddRecords(rs)
+	return true
+}
+
 func (f *fakeCluster) AddAddresses([]string) {}
 
 func (f *fakeCluster) SetStoreReachable(reachable bool, _ time.Duration) {
