--- a/mesh/revalidator/distributor.go
+++ b/mesh/revalidator/distributor.go
@@ -21,6 +21,9 @@
 	// further time for each node of the region that precedes.
 	readFraction     = 0.4
 	readStepFraction = 0.06
+	// otherReadersFraction is the time in which all nodes of the region after singleReaders read, so that each one has read in
+	// time even if no message arrives.
+	otherReadersFraction = 0.2
 	// regionStepFraction is the further time for each region that precedes, so that the read of one region reaches the
 	// others before these read themselves.
 	regionStepFraction = 0.015
@@ -31,6 +34,8 @@
 )
 
 const (
+	// singleReaders is the number of nodes of a region that read the store one after the other.
+	singleReaders = 3
 	// relays is the number of nodes of each other region that a proof is sent to. The second one passes it on if nothing as
 	// new has come from its own region after relayDelay.
 	relays     = 2
@@ -350,7 +355,6 @@
 		address string
 		failed  bool
 	}
-	var own place
 	var region []place
 	regions := map[string]bool{}
 	for _, n := range d.nodes() {
@@ -363,14 +367,18 @@
 			regions[n.Region] = true
 		}
 	}
-	own = place{address: d.address, failed: d.readPause > maxReadPause/2}
+	own := place{address: d.address, failed: d.readPause > maxReadPause/2}
 	before := 0
 	for _, n := range region {
 		if n.failed == own.failed && compareRanks(n.address, own.address) < 0 || own.failed && !n.failed {
 			before++
 		}
 	}
-	return time.Duration(before)*d.part(readStepFraction) + time.Duration(len(regions))*d.part(regionStepFraction)
+	delay := time.Duration(min(before, singleReaders)) * d.part(readStepFraction)
+	if before > singleReaders {
+		delay += d.part(otherReadersFraction) * time.Duration(before-singleReaders) / time.Duration(len(region)+1-singleReaders)
+	}
+	return delay + time.Duration(len(regions))*d.part(regionStepFraction)
 }
 
 func (d *distributor) regionSize() int {
