--- a/mesh/receiver/key_test.go
+++ b/mesh/receiver/key_test.go
@@ -21,7 +21,8 @@
 )
 
 // TestKeys guards against requests without a tenant's key that are forwarded, keys and forged tenants that reach an
-// upstream, and headers that change although the configuration has no tenants.
+// upstream, headers that change although the configuration has no tenants, and keys that count, or are called unknown, by a
+// configuration that may be out of date.
 func TestKeys(t *testing.T) {
 	rules := []*rule.Rule{
 		rule.New(rule.Fields{Name: "r", Host: "h", Prefix: "/a/", Timeout: 5 * time.Second, Priority: 2}),
@@ -38,26 +39,35 @@
 		plan    *plan.Plan
 		path    string
 		headers string
+		revoke  bool
+		stale   bool
 	}{
-		{"a key", with, "/a/x", "Key: k1\r\n"},
-		{"another key and a forged tenant", with, "/a/x", "Key: k2\r\nTenant: t2\r\n"},
-		{"an unknown key", with, "/a/x", "Key: k3\r\n"},
-		{"no key", with, "/a/x", "Tenant: t1\r\n"},
-		{"public, no key", with, "/p/x", "Tenant: t1\r\n"},
-		{"public, a key", with, "/p/x", "Key: k1\r\n"},
-		{"public, an unknown key", with, "/p/x", "Key: k3\r\n"},
-		{"no route", with, "/b/x", "Key: k1\r\n"},
-		{"no tenants", without, "/a/x", "Key: k1\r\nTenant: t9\r\n"},
+		{"a key", with, "/a/x", "Key: k1\r\n", false, false},
+		{"another key and a forged tenant", with, "/a/x", "Key: k2\r\nTenant: t2\r\n", false, false},
+		{"an unknown key", with, "/a/x", "Key: k3\r\n", false, false},
+		{"no key", with, "/a/x", "Tenant: t1\r\n", false, false},
+		{"public, no key", with, "/p/x", "Tenant: t1\r\n", false, false},
+		{"public, a key", with, "/p/x", "Key: k1\r\n", false, false},
+		{"public, an unknown key", with, "/p/x", "Key: k3\r\n", false, false},
+		{"no route", with, "/b/x", "Key: k1\r\n", false, false},
+		{"no tenants", without, "/a/x", "Key: k1\r\nTenant: t9\r\n", false, false},
+		{"revocations, a key", with, "/a/x", "Key: k1\r\n", true, false},
+		{"revocations, an unknown key", with, "/a/x", "Key: k3\r\n", true, false},
+		{"out of date, a key", with, "/a/x", "Key: k1\r\n", true, true},
+		{"out of date, an unknown key", with, "/a/x", "Key: k3\r\n", true, true},
+		{"out of date, no key", with, "/a/x", "", true, true},
+		{"out of date, public, a key", with, "/p/x", "Key: k1\r\n", true, true},
+		{"out of date, no tenants", without, "/a/x", "Key: k1\r\n", true, true},
 	} {
 		forwarded := "nothing"
-		f := &fakeParts{plan: c.plan, forward: func(_ context.Context, q call.Fields) answer.Answer {
+		f := &fakeParts{plan: c.plan, revoke: c.revoke, stale: c.stale, forward: func(_ context.Context, q call.Fields) answer.Answer {
 			kept := ""
 			for _, h := range q.Headers {
 				if h.Name == "Key" || h.Name == "Tenant" {
 					kept += " " + h.Name + "=" + h.Value
 				}
 			}
-			forwarded = fmt.Sprintf("tenant %q, hash %v, priority %d, headers%s", q.Tenant, len(q.KeyHash) > 0, q.Priority, kept)
+			forwarded = fmt.Sprintf("tenant %q, hash %v by version %d, priority %d, headers%s", q.Tenant, len(q.KeyHash) > 0, q.KeyVersion, q.Priority, kept)
 			return answer.New(answer.Fields{Status: 200, Ran: answer.Yes})
 		}}
 		_, address := startServer(t, f)
@@ -72,7 +82,7 @@
 			t.Fatalf("%s: %v", c.name, err)
 		}
 		conn.Close()
-		fmt.Fprintf(&out, "%s: %d, forwarded %s\n", c.name, r.StatusCode, forwarded)
+		fmt.Fprintf(&out, "%s: %d, Retry-After %v, forwarded %s\n", c.name, r.StatusCode, r.Header.Get("Wait") != "", forwarded)
 	}
 	goldie.New(t).Assert(t, "keys", []byte(out.String()))
 }
--- a/mesh/watcher/watcher_test.go
+++ b/mesh/watcher/watcher_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sebdah/goldie/v2"
 
+	"wisteriaspoke.example/mesh/clock"
 	"wisteriaspoke.example/mesh/elector"
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/record"
@@ -32,6 +33,7 @@
 	stale     bool // cheap lists lack what was put since
 	hosts     []record.Record
 	changed   chan struct{}
+	begunAt   time.Duration // when the last call began, by the boot-time clock
 }
 
 func (s *fakeStore) tracef(format string, args ...any) {
@@ -42,6 +44,7 @@
 func (s *fakeStore) begin(ctx context.Context, format string, args ...any) error {
 	s.mutex.Lock()
 	s.tracef(format, args...)
+	s.begunAt = clock.Clock{}.Now()
 	silent, refusing := s.silent, s.refusing
 	s.mutex.Unlock()
 	if silent {
@@ -142,6 +145,8 @@
 	mutex     sync.Mutex
 	reachable bool
 	peers     []elector.Candidate
+	lossy     bool // the next read is lost
+	lateReads int  // reads whose moment is not before their call
 }
 
 func (f *fakeCluster) AddRecords(rs []record.Record) {
@@ -152,9 +157,20 @@
 	}
 }
 
-func (f *fakeCluster) AddRead(rs []record.Record, _ time.Duration) bool {
-	f.AddRecords(rs)
-	return true
+func (f *fakeCluster) AddRead(rs []record.Record, began time.Duration) bool {
+	f.mutex.Lock()
+	lost := f.lossy
+	f.lossy = false
+	f.store.mutex.Lock()
+	if began > f.store.begunAt {
+		f.lateReads++
+	}
+	f.store.mutex.Unlock()
+	f.mutex.Unlock()
+	if !lost {
+		f.AddRecords(rs)
+	}
+	return !lost
 }
 
 func (f *fakeCluster) AddAddresses([]string) {}
@@ -185,7 +201,7 @@
 	return elector.Candidate{Address: "m", StoreReachable: f.reachable, Alive: true}
 }
 
-// TestWatchKind guards against changes that are missed after a failure of the store. Each case changes the store at set
+// TestWatchKind guards against changes that are missed after a failure of the store, and reads that prove too much. Each case changes the store at set
 // times; the golden file shows the calls and what was added.
 func TestWatchKind(t *testing.T) {
 	type event struct {
@@ -223,6 +239,12 @@
 		{"silent", []event{
 			{time.Second, func(s *fakeStore, _ *fakeCluster) { s.set(func() { s.silent = true }); s.change() }},
 			{14 * time.Second, func(s *fakeStore, _ *fakeCluster) { s.set(func() { s.silent = false }); s.change() }}}, 22 * time.Second},
+		{"records-lost", []event{{time.Second, func(s *fakeStore, f *fakeCluster) {
+			f.mutex.Lock()
+			f.lossy = true
+			f.mutex.Unlock()
+			s.change()
+		}}}, 3 * time.Second},
 		{"other-nodes-watch", []event{{100 * time.Millisecond, setPeers(4)}, {2 * time.Second, setPeers(3)}, {3 * time.Second, changeConfig}}, 4 * time.Second},
 	}
 	for _, c := range cases {
@@ -242,6 +264,9 @@
 				cancel()
 				<-end
 				goldie.New(t).Assert(t, c.name, []byte(withoutTimes(s.trace)))
+				if f.lateReads > 0 {
+					t.Errorf("%d reads are said to have begun after they did", f.lateReads)
+				}
 			})
 		})
 	}
