revalidator, watcher, exchanger: spaced watches; the last check right before a call is written

Cause: two watchers whose watches begin together prove no more than one, so nodes read the whole configuration every 1.5 s in calm (13 reads in 20 s in the virtual-time test). A process that was suspended between the runner's check and the write would have run a call with a revoked key. Change: the second watcher begins its watches halfway through those of the first. The exchanger asks again before it writes. Test: 1 read in 20 s of calm; a key that is revoked after the runner's last check does not reach the upstream.

--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -76,6 +76,9 @@
 	Address  string   // IP:PORT of the upstream; set before use
 	Dialect  Dialect  // set before use
 	Observer Observer // may be nil; set before use
+	// Refuse returns why the call may no longer run, or the empty string. It is called right before the call is written, as the
+	// process may have been suspended since the runner's check; may be nil; set before use.
+	Refuse func(c call.Call) string
 	// MaxBuffered bounds the bytes of all bodies that are being read, as an upstream in trouble may send bytes without end
 	// on all of its connections; set before use.
 	MaxBuffered int64
@@ -111,6 +114,14 @@
 		}
 		return contextEnded(ctx, answer.No)
 	}
+	if x.Refuse != nil {
+		if reason := x.Refuse(c); reason != "" {
+			if !x.putIdle(conn) {
+				conn.Close()
+			}
+			return answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reason})
+		}
+	}
 	start := time.Now()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	a, reusable := x.roundTrip(conn, c, remaining(ctx))
--- a/mesh/revalidator/distributor_test.go
+++ b/mesh/revalidator/distributor_test.go
@@ -42,7 +42,7 @@
 var scenarios = []scenario{
 	{name: "calm", reach: all, calm: true},
 	{name: "first watcher killed", begin: func(s *simulation) { s.host("a0").dead = true }, reach: except("a0"), calm: true},
-	{name: "watchers in phase, second killed", begin: func(s *simulation) { s.host("b0").dead = true }, reach: except("b0"), calm: true},
+	{name: "second watcher killed", begin: func(s *simulation) { s.host("b0").dead = true }, reach: except("b0"), calm: true},
 	{name: "both first watchers killed", begin: func(s *simulation) { s.host("a0").dead, s.host("b0").dead = true, true }, reach: except("a0", "b0"), calm: true},
 	{name: "all watchers suspended for 8 s", begin: func(s *simulation) {
 		for n := range s.waits {
--- a/mesh/revalidator/revalidator.go
+++ b/mesh/revalidator/revalidator.go
@@ -164,6 +164,16 @@
 	}
 }
 
+// Space returns the pause before this node's next watch of the configuration, and the wait of that watch, so that the watches of
+// several nodes do not begin at the same time.
+func (r *Revalidator) Space(wait time.Duration) (pause, next time.Duration) {
+	d := r.started.Load()
+	if d == nil {
+		return 0, wait
+	}
+	return d.space(wait)
+}
+
 // Handle queues the messages of this part and reports whether m is one.
 func (r *Revalidator) Handle(peer string, m message.Message) bool {
 	if m.Kind() != kindStamp && m.Kind() != kindProof {
--- a/mesh/revalidator/simulation_test.go
+++ b/mesh/revalidator/simulation_test.go
@@ -213,12 +213,18 @@
 		return
 	}
 	h.watching = true
-	h.read(wait, func(failed bool) {
-		pause := time.Duration(0)
-		if failed {
-			pause = 600 * time.Millisecond
-		}
-		h.sim.after(pause, nil, h, func(h *host) { h.watching = false })
+	pause := time.Duration(0)
+	if h.name == names[1] {
+		pause, wait = h.space(wait)
+	}
+	h.sim.after(pause, nil, h, func(h *host) {
+		h.read(wait, func(failed bool) {
+			pause := time.Duration(0)
+			if failed {
+				pause = 600 * time.Millisecond
+			}
+			h.sim.after(pause, nil, h, func(h *host) { h.watching = false })
+		})
 	})
 }
 
--- a/mesh/runner/key_test.go
+++ b/mesh/runner/key_test.go
@@ -15,6 +15,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/crashcount"
 	"wisteriaspoke.example/mesh/enroller"
 	"wisteriaspoke.example/mesh/plan"
 	"wisteriaspoke.example/mesh/tenant"
@@ -32,6 +33,17 @@
 func (f *fakeProofs) Enabled() bool     { return !f.off }
 func (f *fakeProofs) Fresh(uint64) bool { return !f.stale.Load() }
 
+// lateChange makes a change at the last step before the exchange with the upstream.
+type lateChange struct {
+	crashCounter
+	change func()
+}
+
+func (l *lateChange) Assess(c call.Call) (crashcount.Count, time.Duration) {
+	l.change()
+	return l.crashCounter.Assess(c)
+}
+
 // TestKeysAreCheckedAgain guards against calls that run although their key was revoked on their way or in the queue, or by a
 // configuration that may be out of date, and against new keys that are refused for good by a node that does not know them
 // yet. Refusals must be not run, and the upstream must not have received the call.
@@ -50,6 +62,7 @@
 		key   string
 		setup func(f *fakeProofs)
 		wait  func(f *fakeProofs) // while the call waits for its slot
+		late  bool                // what setup does happens after the checks of the runner
 	}{
 		{name: "key known", plan: keys(3, "k1"), key: "k1"},
 		{name: "no key needed", plan: keys(3, "k1"), setup: func(f *fakeProofs) { f.stale.Store(true) }},
@@ -63,6 +76,7 @@
 		{name: "off", plan: keys(4), key: "k1", setup: func(f *fakeProofs) { f.off = true }},
 		{name: "revoked in the queue", plan: keys(3, "k1"), key: "k1", wait: func(f *fakeProofs) { f.plan.Store(keys(4)) }},
 		{name: "out of date in the queue", plan: keys(3, "k1"), key: "k1", wait: func(f *fakeProofs) { f.stale.Store(true) }},
+		{name: "revoked while connecting", plan: keys(3, "k1"), key: "k1", late: true, setup: func(f *fakeProofs) { f.plan.Store(keys(4)) }},
 		{name: "changed in the queue, key kept", plan: keys(3, "k1"), key: "k1", wait: func(f *fakeProofs) { f.plan.Store(keys(4, "k0", "k1")) }},
 	} {
 		begun, release := make(chan struct{}, 2), make(chan struct{})
@@ -80,7 +94,9 @@
 		r, e := newRunner()
 		f := &fakeProofs{}
 		f.plan.Store(c.plan)
-		if c.setup != nil {
+		if c.late {
+			r.crashes = &lateChange{crashCounter: r.crashes, change: func() { c.setup(f) }}
+		} else if c.setup != nil {
 			c.setup(f)
 		}
 		r.views, r.proofs = f, f
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -155,7 +155,7 @@
 			tracker: r.tracker, log: r.log, instance: a.Instance, startMillis: a.StartMillis,
 			slotter: slotter.New(min(a.Slots, unprovenSlots)), limit: limit{base: time.Now()},
 		}
-		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next, MaxBuffered: r.responseBuffer}
+		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next, Refuse: r.checkKey, MaxBuffered: r.responseBuffer}
 		next.slots.Store(int32(a.Slots))
 		next.ratioPerMille.Store(initialPerMille)
 		r.backend.Store(next)
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -40,6 +40,8 @@
 	spareBatchPause = time.Second
 	// watchCallName names watches in log lines.
 	watchCallName = "watch"
+	// spacedRank is the rank of the watcher whose watches are spaced from those of the first.
+	spacedRank = 1
 	// electionPollInterval is the interval at which a node that does not watch checks whether it should.
 	electionPollInterval = 250 * time.Millisecond
 	// minTakeover and maxTakeover bound the random pause before a node watches whose last call to the store failed. They
@@ -105,11 +107,18 @@
 	Config() machine.Config
 }
 
+// spacer spaces the watches of the configuration that several nodes make.
+type spacer interface {
+	// Space returns the pause before the next watch and the wait of that watch.
+	Space(wait time.Duration) (pause, next time.Duration)
+}
+
 // Watcher registers this node in the store and watches the store for changes.
 type Watcher struct {
 	log     *slog.Logger
 	store   store
 	cluster cluster
+	spacers []spacer
 	node    string // address of this node
 }
 
@@ -126,6 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
+	w.spacers = kernel.All[spacer](k)
 	w.log, w.node = k.Log, s.Config().Node
 	end := make(chan error, 1)
 	go func() {
@@ -223,7 +233,14 @@
 			watching = true
 			w.log.Info("watch begins", "kind", kind, "place", rank)
 		}
-		changed, err := w.fetchChanges(ctx, kind, watchWaits[kind][rank], &at)
+		wait := watchWaits[kind][rank]
+		if kind == record.Configuration && rank == spacedRank {
+			var err error
+			if wait, err = w.space(ctx, wait); err != nil {
+				return err
+			}
+		}
+		changed, err := w.fetchChanges(ctx, kind, wait, &at)
 		var delay time.Duration
 		switch {
 		case err != nil:
@@ -242,6 +259,18 @@
 	}
 }
 
+// space pauses and returns the wait of the next watch, so that it does not begin together with that of the first watcher.
+func (w *Watcher) space(ctx context.Context, wait time.Duration) (time.Duration, error) {
+	for _, s := range w.spacers {
+		var pause time.Duration
+		pause, wait = s.Space(wait)
+		if err := pauser.Pause(ctx, pause); err != nil {
+			return 0, err
+		}
+	}
+	return wait, nil
+}
+
 // fetchChanges lists or watches once, adds what it got, and sets at to its revision; at is zero before the first list.
 func (w *Watcher) fetchChanges(
 	ctx context.Context, kind record.Kind, wait time.Duration, at *uint64,
