--- a/mesh/revalidator/distributor_test.go
+++ b/mesh/revalidator/distributor_test.go
@@ -73,7 +73,9 @@
 			}
 			return 0
 		}
-	}, end: 12 * time.Second, undo: func(s *simulation) { s.delay = func(*host, *host) time.Duration { return 0 } }, reach: all},
+	}, end: 12 * time.Second, undo: func(s *simulation) {
+		s.delay = func(*host, *host) time.Duration { return 0 }
+	}, reach: all},
 	{name: "store refuses half of the hosts, watchers too, for 9 s", begin: func(s *simulation) {
 		for i, h := range s.hosts {
 			if i < 3 || i%2 == 0 {
--- a/mesh/revalidator/revalidator.go
+++ b/mesh/revalidator/revalidator.go
@@ -32,6 +32,8 @@
 	forgetInterval = 30 * time.Second
 	// readTimeout bounds a read of the store; other nodes read it meanwhile.
 	readTimeout = 1500 * time.Millisecond
+	// readCallName names reads in log lines.
+	readCallName = "list " + string(record.Configuration) + " for a proof"
 	// minRevoke is the lowest value of --revoke: a read of the store and its way to other regions must fit into the part of it
 	// that is left when nodes begin to read.
 	minRevoke = time.Second
@@ -210,7 +212,7 @@
 		case err := <-r.readErrors:
 			r.distributor.reading = false
 			if err != nil && ctx.Err() == nil {
-				r.log.Warn("store call failed", "call", "list "+string(record.Configuration)+" for a proof", "kind", fault.KindOf(err), "error", err)
+				r.log.Warn("store call failed", "call", readCallName, "kind", fault.KindOf(err), "error", err)
 			}
 		case <-t.C:
 			r.tick(ctx)
@@ -288,8 +290,8 @@
 	r.refusing = refusing
 	if refusing {
 		r.refusedSince = now
-		r.log.Warn("requests with a key are refused, as the configuration may be out of date", "version", version, "proven", known,
-			"age", age.Milliseconds(), "bound", d.part(freshFraction).Milliseconds())
+		r.log.Warn("requests with a key are refused, as the configuration may be out of date", "version", version,
+			"proven", known, "age", age.Milliseconds(), "bound", d.part(freshFraction).Milliseconds())
 		return
 	}
 	r.log.Info("requests with a key are accepted", "version", version, "age", age.Milliseconds(),
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -304,7 +304,8 @@
 	} else if !w.cluster.AddRead(rs, began) {
 		// Later watches do not return the lost records.
 		*at = 0
-		return false, fault.New(fault.Unavailable, "the records of a read were lost, as the gossiper is too busy", "give the node more of a core")
+		return false, fault.New(fault.Unavailable, "the records of a read were lost, as the node is too busy",
+			"give it more of a core")
 	}
 	return len(rs) > 0, nil
 }
