--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -139,6 +139,7 @@
 	statusQueued      atomic.Bool               // a statusChanged is among the inputs
 	leaving           atomic.Bool
 	peakPeerCount     atomic.Int64 // largest number of peers with a status at one time
+	addressCount      atomic.Int64 // peers with and without a status
 
 	// The fields below are owned by the goroutine.
 	peers            map[string]*peer
@@ -207,6 +208,10 @@
 // whole mesh are divided by it, so that a node cut off from the others does not use their shares.
 func (g *Gossiper) PeakNodeCount() int { return int(g.peakPeerCount.Load()) + 1 }
 
+// AddressCount returns the number of nodes, including this one, that are known at present or that this node tries to
+// reach. A node that has just started and is cut off learns from it that it is not alone.
+func (g *Gossiper) AddressCount() int { return int(g.addressCount.Load()) + 1 }
+
 // Self returns this node as a candidate.
 func (g *Gossiper) Self() elector.Candidate {
 	c := elector.Candidate{
@@ -382,6 +387,7 @@
 	if p == nil {
 		p = &peer{address: address, linkChangedAt: g.now()}
 		g.peers[address] = p
+		g.addressCount.Store(int64(len(g.peers)))
 		g.sender.Send(address, g.statusMessage())
 	}
 	return p
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -172,4 +172,5 @@
 	}
 	g.nodes.Store(&cs)
 	g.peakPeerCount.Store(max(g.peakPeerCount.Load(), int64(len(cs))))
+	g.addressCount.Store(int64(len(g.peers)))
 }
--- /dev/null
+++ b/mesh/spender/spender.go
@@ -0,0 +1,468 @@
+package spender
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriaspoke.example/mesh/quota"
+)
+
+const (
+	// rateMemory is the time constant of the measured demand.
+	rateMemory = 700 * time.Millisecond
+	// roundTrip is the time between a report and its grant for which a node holds tokens, too.
+	roundTrip = 100 * time.Millisecond
+	// reserve is the number of tokens for requests beyond the measured demand.
+	reserve = 1
+	// reserveFor is how long after its last request a tenant's reserve is kept.
+	reserveFor = 10 * time.Second
+	// spareTokens is the number of tokens beyond its need that a node keeps.
+	spareTokens = 1
+	// coalesceFor is how long a report for a request that waits is held back for others.
+	coalesceFor = 10 * time.Millisecond
+	// lowInterval is the shortest time between two reports because tokens have run out while no request waits.
+	lowInterval = 250 * time.Millisecond
+	// settleTime is how long the number of nodes must not have grown before a process that has not heard it uses it.
+	settleTime = 2 * time.Second
+	// avoidFor is how long a node that has said that it stops is not an owner; a restart takes some seconds.
+	avoidFor = 10 * time.Second
+	// changeSpread is the time over which the nodes change to an owner that has come back. The former one goes on
+	// meanwhile, so the tenants of the shard never have to do without most of their shares.
+	changeSpread = 3 * time.Second
+	// limitedFor is the time without a refusal after which a tenant is not limited any more.
+	limitedFor = 5 * time.Second
+)
+
+// Spender holds the accounts of all tenants with a limit. Account is safe for concurrent use; all other methods belong
+// to one goroutine. Times are readings of this host's boot-time clock.
+type Spender struct {
+	terms       quota.Terms
+	incarnation uint64
+	self        string
+	lastStamp   uint64
+	accounts    atomic.Pointer[directory]
+	mutex       sync.Mutex // guards changes of accounts
+	loans       [quota.Shards]loan
+	avoided     map[string]time.Duration // addresses of nodes that stop, until when
+
+	members int // the largest number of nodes that this process has seen at one time
+	current int // the number that it knows or tries to reach
+	heard   int // the largest number that settled nodes have told
+	grownAt time.Duration
+	expired uint64
+}
+
+// directory is an immutable set of accounts.
+type directory struct {
+	byName  map[string]*Account
+	byShard [quota.Shards][]*Account // in the order of their names
+}
+
+func newDirectory(byName map[string]*Account) *directory {
+	d := &directory{byName: byName}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		a := byName[name]
+		d.byShard[a.shard] = append(d.byShard[a.shard], a)
+	}
+	return d
+}
+
+// loan is what this node has to do with the owner of one shard.
+type loan struct {
+	owner      process // incarnation 0 before its first grant
+	echo       uint64  // stamp of its last grant
+	lentAt     time.Duration
+	lent       bool          // lentAt is set
+	freeAt     time.Duration // from when this node's share may be lent to owner
+	former     process       // the owner before, until it has confirmed that it does not use the share
+	formerEnd  uint64        // stamp of the report that ended the loan to it
+	farewell   bool          // that report is due
+	changeAt   time.Duration // when to change to next
+	next       string        // owner to change to, or the empty string
+	reportedAt time.Duration
+	reported   bool
+	answered   bool
+	dueAt      time.Duration
+}
+
+// Outgoing is a report and the node that it is for.
+type Outgoing struct {
+	Owner  string
+	Report *quota.Report
+}
+
+// Change is a change of a shard's owner.
+type Change struct {
+	Shard       uint8
+	Owner, From string
+}
+
+// Transition is the begin or the end of a period in which requests of a tenant are refused.
+type Transition struct {
+	Limit   quota.Limit
+	Began   bool
+	Refused uint64        // in the period
+	Period  time.Duration // how long it lasted
+	Rate    float64       // requests a second that arrive
+	Granted float64       // tokens a second that the owner has for this node
+}
+
+// New returns the spender of a process on the node with address self; incarnation grows with each start.
+func New(b quota.Bounds, self string, incarnation uint64, now time.Duration) *Spender {
+	s := &Spender{
+		terms: b.Terms(), incarnation: incarnation, self: self, avoided: map[string]time.Duration{}, grownAt: now,
+	}
+	s.accounts.Store(newDirectory(nil))
+	return s
+}
+
+// Account returns the account of the tenant with the limit, and adds it if it is new.
+func (s *Spender) Account(l quota.Limit) *Account {
+	if a := s.Existing(l.Name); a != nil {
+		return a
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if a := s.Existing(l.Name); a != nil {
+		return a
+	}
+	id, shard := quota.Identify(l.Name)
+	a := &Account{id: id, shard: shard}
+	a.limit.Store(&l)
+	as := map[string]*Account{l.Name: a}
+	maps.Copy(as, s.accounts.Load().byName)
+	s.accounts.Store(newDirectory(as))
+	return a
+}
+
+// Existing returns the account of the tenant with the name, or nil.
+func (s *Spender) Existing(name string) *Account { return s.accounts.Load().byName[name] }
+
+// Accounts returns all accounts by name; the map must not be changed.
+func (s *Spender) Accounts() map[string]*Account { return s.accounts.Load().byName }
+
+// Expired returns how many tokens were not used in time.
+func (s *Spender) Expired() uint64 { return s.expired }
+
+// SetLimits replaces the limits of all tenants.
+func (s *Spender) SetLimits(ls []quota.Limit) {
+	for _, l := range ls {
+		s.Account(l).limit.Store(&l)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	as := map[string]*Account{}
+	for _, l := range ls {
+		as[l.Name] = s.Existing(l.Name)
+	}
+	s.accounts.Store(newDirectory(as))
+}
+
+// SetNodes sets the other nodes that are alive, the largest number of nodes known at one time, and the number of nodes
+// that this one knows or tries to reach. It returns the shards whose owner changes.
+func (s *Spender) SetNodes(alive []string, peak, addresses int, now time.Duration) []Change {
+	if n := max(peak, addresses); n > max(s.members, s.current) {
+		s.grownAt = now
+	}
+	s.members, s.current = max(s.members, peak), addresses
+	maps.DeleteFunc(s.avoided, func(_ string, until time.Duration) bool { return until <= now })
+	var changes []Change
+	for i := range s.loans {
+		l := &s.loans[i]
+		best := s.chooseOwner(uint8(i), alive)
+		gone := l.owner.address != s.self && (!slices.Contains(alive, l.owner.address) || s.avoided[l.owner.address] > 0)
+		switch {
+		case best == l.owner.address:
+			l.next = ""
+			continue
+		case l.owner.address != "" && !gone && l.next != best:
+			part := float64(xxhash.Sum64String(s.self+" changes "+best)) / math.MaxUint64
+			l.next, l.changeAt = best, now+time.Duration(part*float64(changeSpread))
+			continue
+		case l.owner.address != "" && !gone && now < l.changeAt:
+			continue
+		}
+		changes = append(changes, Change{Shard: uint8(i), Owner: best, From: l.owner.address})
+		s.changeOwner(l, best, now)
+	}
+	return changes
+}
+
+// chooseOwner returns the owner of a shard by rendezvous hashing.
+func (s *Spender) chooseOwner(n uint8, alive []string) string {
+	score := func(address string) uint64 { return xxhash.Sum64String(address + " " + string('a'+rune(n))) }
+	best := s.self
+	if s.avoided[s.self] > 0 && len(alive) > 0 {
+		best = ""
+	}
+	for _, address := range alive {
+		if s.avoided[address] == 0 && (best == "" || score(address) > score(best)) {
+			best = address
+		}
+	}
+	return cmp.Or(best, s.self)
+}
+
+func (s *Spender) changeOwner(l *loan, owner string, now time.Duration) {
+	if l.lent {
+		l.freeAt = max(l.freeAt, l.lentAt+s.terms.Share)
+		l.former, l.farewell, l.formerEnd = l.owner, true, 0
+	}
+	l.owner, l.echo, l.next, l.lent = process{address: owner}, 0, "", false
+	l.reported, l.dueAt = false, now
+}
+
+// nodeCount returns the number of nodes among which limits are divided, or 0 if it is not known.
+func (s *Spender) nodeCount(now time.Duration) int {
+	if s.heard == 0 && now-s.grownAt < settleTime {
+		return 0
+	}
+	return max(s.heard, s.members, s.current, 1)
+}
+
+// known returns the number of nodes to tell others, without those that this node only tries to reach.
+func (s *Spender) known(now time.Duration) uint32 {
+	if s.nodeCount(now) == 0 {
+		return 0
+	}
+	return uint32(max(s.heard, s.members))
+}
+
+// Hear takes the number of nodes that another node has told.
+func (s *Spender) Hear(nodeCount uint32) { s.heard = max(s.heard, int(nodeCount)) }
+
+// NodeCount returns the number of nodes to tell others, or 0 if it is not known.
+func (s *Spender) NodeCount(now time.Duration) uint32 { return s.known(now) }
+
+// Due returns the reports that are due.
+func (s *Spender) Due(now time.Duration) []Outgoing {
+	as := s.accounts.Load()
+	if len(as.byName) == 0 {
+		return nil
+	}
+	var out []Outgoing
+	for i := range s.loans {
+		l := &s.loans[i]
+		if l.farewell {
+			l.farewell, l.formerEnd = false, s.stamp(now)
+			out = append(out, Outgoing{Owner: l.former.address, Report: &quota.Report{
+				Shard: uint8(i), Incarnation: s.incarnation, Stamp: l.formerEnd,
+			}})
+		}
+		if l.owner.address != "" && s.due(uint8(i), as.byShard[i]) <= now {
+			if r := s.report(uint8(i), as.byShard[i], now); r != nil {
+				out = append(out, Outgoing{Owner: l.owner.address, Report: r})
+			}
+		}
+	}
+	return out
+}
+
+// NextDue returns when the next report is due if nothing happens until then.
+func (s *Spender) NextDue(now time.Duration) time.Duration {
+	as := s.accounts.Load()
+	next := now + s.terms.Interval
+	for i := range s.loans {
+		if len(as.byShard[i]) > 0 {
+			next = min(next, s.due(uint8(i), as.byShard[i]))
+		}
+	}
+	return next
+}
+
+// due returns when the next report of a shard is due.
+func (s *Spender) due(n uint8, as []*Account) time.Duration {
+	l := &s.loans[n]
+	at := l.dueAt
+	for _, a := range as {
+		switch {
+		case a.urgent.Load() && (l.answered || !l.reported):
+			at = min(at, l.reportedAt+coalesceFor)
+		case a.urgent.Load():
+			at = min(at, l.reportedAt+roundTrip)
+		case a.low.Load():
+			at = min(at, max(l.reportedAt+lowInterval, time.Duration(a.emptyTill.Load())))
+		}
+	}
+	return at
+}
+
+func (s *Spender) stamp(now time.Duration) uint64 {
+	s.lastStamp = max(s.lastStamp+1, uint64(now/time.Microsecond))
+	return s.lastStamp
+}
+
+// report makes a shard's report, or returns nil if no tenant is in the shard.
+func (s *Spender) report(n uint8, as []*Account, now time.Duration) *quota.Report {
+	if len(as) == 0 {
+		return nil
+	}
+	l := &s.loans[n]
+	r := &quota.Report{
+		Shard: n, Incarnation: s.incarnation, Stamp: s.stamp(now), OwnerIncarnation: l.owner.incarnation, Echo: l.echo,
+		NodeCount: s.known(now),
+	}
+	for _, a := range as {
+		if need, needed := s.need(a, l, now); needed {
+			r.Needs = append(r.Needs, need)
+		}
+	}
+	l.dueAt = now + s.terms.Interval
+	if count := s.nodeCount(now); count > 0 && l.echo > 0 && now >= l.freeAt {
+		r.Lent = uint32(count)
+		l.lent, l.lentAt = true, now
+	}
+	l.reported, l.reportedAt, l.answered = true, now, false
+	return r
+}
+
+// need returns what the report says about one tenant, and whether it has to.
+func (s *Spender) need(a *Account, l *loan, now time.Duration) (quota.Need, bool) {
+	a.urgent.Store(false)
+	a.low.Store(false)
+	waiting := a.waiting()
+	a.measure(now)
+	if waiting > 0 {
+		a.arrived, a.arrivedAt = true, now
+	}
+	want := 0
+	if a.arrived && now-a.arrivedAt < reserveFor {
+		want = int(math.Ceil(a.rate*(s.terms.Interval+roundTrip).Seconds())) + reserve + waiting
+	}
+	need := quota.Need{
+		ID: a.id, Waiting: uint32(waiting), Want: uint32(want), Rate: uint32(a.rate * 1000), Returned: uint32(a.returned.Swap(0)),
+	}
+	if int64(now) >= a.expiry.Load() {
+		s.expired += a.drop()
+	}
+	if a.owner == l.owner {
+		unused, held := a.giveUp(int64(want))
+		need.Unused, need.Held = uint32(unused), uint32(held)
+	}
+	return need, want > 0 || need.Held > 0 || need.Unused > 0 || need.Returned > 0
+}
+
+// measure updates the rate at which requests arrive.
+func (a *Account) measure(now time.Duration) {
+	total := a.arrivals.Load()
+	passed := now - a.seenAt
+	if passed <= 0 {
+		return
+	}
+	fresh := total - a.arrivalsSeen
+	if fresh > 0 {
+		a.arrived, a.arrivedAt = true, now
+	}
+	a.rate += (float64(fresh)/passed.Seconds() - a.rate) * (1 - math.Exp(-passed.Seconds()/rateMemory.Seconds()))
+	a.arrivalsSeen, a.seenAt = total, now
+}
+
+// Handle applies a grant of the node at address from. It returns how many tokens were added.
+func (s *Spender) Handle(from string, g *quota.Grant, now time.Duration) int {
+	if g.Shard >= quota.Shards || g.Reporter != s.incarnation || g.Echo > s.lastStamp {
+		return 0
+	}
+	l := &s.loans[g.Shard]
+	if g.Released {
+		s.avoided[from] = now + avoidFor
+	}
+	if l.former == (process{from, g.Incarnation}) && (g.Released || l.formerEnd > 0 && g.Echo >= l.formerEnd) {
+		// The tokens that it has granted expire within their term from now.
+		l.freeAt = min(l.freeAt, now+s.terms.Token)
+		l.former = process{}
+	}
+	if from != l.owner.address || g.Incarnation < l.owner.incarnation ||
+		g.Incarnation == l.owner.incarnation && g.Stamp <= l.echo {
+		return 0
+	}
+	s.Hear(g.NodeCount)
+	if g.Incarnation > l.owner.incarnation {
+		if l.lent {
+			// The process that used the share has ended.
+			l.freeAt, l.lent = max(l.freeAt, min(l.lentAt+s.terms.Share, now+s.terms.Token)), false
+		}
+		l.owner.incarnation = g.Incarnation
+		l.dueAt = min(l.dueAt, now+coalesceFor)
+	}
+	l.echo, l.answered = g.Stamp, true
+	if g.Released && l.lent {
+		l.freeAt, l.lent = max(l.freeAt, now+s.terms.Token), false
+	}
+	valid := time.Duration(g.Echo)*time.Microsecond + s.terms.Token
+	added := 0
+	as := s.accounts.Load().byShard[g.Shard]
+	for _, gift := range g.Gifts {
+		for _, a := range as {
+			if a.id == gift.ID {
+				added += s.add(a, l, gift, valid, now)
+			}
+		}
+	}
+	return added
+}
+
+// add adds the tokens of a gift to an account.
+func (s *Spender) add(a *Account, l *loan, gift quota.Gift, valid, now time.Duration) int {
+	if int64(now) >= a.expiry.Load() {
+		s.expired += a.drop()
+	}
+	if a.owner != l.owner {
+		if gift.Tokens == 0 && a.tokens.Load() > 0 {
+			// The tokens of the former owner are used first.
+			gift.Renewed = false
+		} else {
+			s.expired += a.drop()
+			a.owner = l.owner
+			a.expiry.Store(int64(valid))
+		}
+	}
+	if gift.Renewed && int64(valid) > a.expiry.Load() {
+		a.expiry.Store(int64(valid))
+	}
+	added := 0
+	if int64(now) < a.expiry.Load() && valid > now {
+		a.tokens.Add(int64(gift.Tokens))
+		added = int(gift.Tokens)
+	}
+	till := time.Duration(0)
+	if gift.Wait > 0 {
+		till = now + time.Duration(gift.Wait)*time.Millisecond
+		a.ownRate.Store(math.Float64bits(float64(gift.Rate) / 1000))
+		l.dueAt = min(l.dueAt, till)
+	}
+	a.emptyTill.Store(int64(till))
+	a.serve(now)
+	return added
+}
+
+// Transitions returns the tenants that have begun or ceased to be limited since the last call.
+func (s *Spender) Transitions(now time.Duration) []Transition {
+	var ts []Transition
+	for _, a := range s.Accounts() {
+		refused := a.refused.Load()
+		t := Transition{
+			Limit: *a.limit.Load(), Rate: a.rate, Granted: math.Float64frombits(a.ownRate.Load()),
+		}
+		switch {
+		case refused != a.refusedSeen:
+			if a.limited == nil {
+				a.limited = &period{since: now, refused: a.refusedSeen}
+				t.Began, t.Refused = true, refused-a.refusedSeen
+				ts = append(ts, t)
+			}
+			a.refusedSeen, a.refusedAt = refused, now
+		case a.limited != nil && now-a.refusedAt >= limitedFor:
+			t.Refused, t.Period = refused-a.limited.refused, a.refusedAt-a.limited.since
+			a.limited = nil
+			ts = append(ts, t)
+		}
+	}
+	return ts
+}
