--- a/mesh/granter/bucket.go
+++ b/mesh/granter/bucket.go
@@ -158,7 +158,7 @@
 	g.Tokens = uint32(tokens)
 	n.short = scarce && tokens < lacks
 	switch {
-	case scarce && tokens < lacks:
+	case scarce && tokens < lacks && (tokens < urgent || n.rate > b.fair):
 		rate := min(n.rate, b.fair)
 		g.Wait = uint32(max(minWait, timeFor(1-n.saved, rate)).Milliseconds())
 		g.Rate = uint32(rate * 1000)
--- /dev/null
+++ b/mesh/ratelimiter/chaos_test.go
@@ -0,0 +1,174 @@
+package ratelimiter
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"wisteriaspoke.example/mesh/quota"
+)
+
+// limitChange is a limit and the time from which all nodes know it.
+type limitChange struct {
+	at    time.Duration
+	limit quota.Limit
+}
+
+// TestBound guards against more requests in a window than the bound allows, under partitions, delayed messages, restarts,
+// suspended nodes and owners, and changes of limits. Every node sends far above the limit all the time.
+func TestBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 8).Draw(t, "nodes")
+		name := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "tenant")
+		drawLimit := func() quota.Limit {
+			rate := rapid.SampledFrom([]float64{5, 40, 129, 300}).Draw(t, "rate")
+			return quota.Limit{Name: name, Rate: rate, Burst: rate * rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "burst")}
+		}
+		limit := drawLimit()
+		m := newSimMesh(nodes, []quota.Limit{limit}, rapid.Uint64().Draw(t, "seed"))
+		changes := []limitChange{{0, limit}}
+		everywhere := make([]int, nodes)
+		for i := range everywhere {
+			everywhere[i] = i
+		}
+		load := func() func() { return m.arrivals(name, 4*m.limits[0].Rate, everywhere) }
+		m.advance(time.Duration(rapid.IntRange(0, 4000).Draw(t, "quiet"))*time.Millisecond, nil)
+		pick := func(label string) *simNode { return m.nodes[rapid.IntRange(0, nodes-1).Draw(t, label)] }
+		spend := func() {
+			m.advance(time.Duration(rapid.IntRange(50, 3000).Draw(t, "time"))*time.Millisecond, load())
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(*rapid.T) { spend() },
+			"cut": func(*rapid.T) {
+				side := rapid.Uint64().Draw(t, "side")
+				for i := range nodes {
+					for j := i + 1; j < nodes; j++ {
+						if side>>i&1 != side>>j&1 {
+							m.cut[[2]int{i, j}] = true
+						}
+					}
+				}
+				spend()
+			},
+			"heal": func(*rapid.T) { clear(m.cut); spend() },
+			"freeze": func(*rapid.T) {
+				pick("frozen").frozenTill = m.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "for"))*time.Millisecond
+				spend()
+			},
+			"restart": func(*rapid.T) {
+				n := pick("restarted")
+				n.down = true
+				spend()
+				m.start(n)
+				spend()
+			},
+			"stop": func(*rapid.T) {
+				n := pick("stopped")
+				if !n.runs(m) {
+					return
+				}
+				for address, gs := range n.granter.Release(n.clock(m)) {
+					for _, g := range gs {
+						m.send(n, address, g)
+					}
+				}
+				spend()
+				n.down = true
+				spend()
+				m.start(n)
+			},
+			"delay": func(*rapid.T) {
+				longest := int64(rapid.IntRange(0, 4000).Draw(t, "delay")) + 1
+				m.delay = func() time.Duration {
+					if m.random.IntN(3) > 0 {
+						return 0
+					}
+					return time.Duration(m.random.Int64N(longest)) * time.Millisecond
+				}
+				spend()
+			},
+			"limit": func(*rapid.T) {
+				l := drawLimit()
+				m.setLimits([]quota.Limit{l})
+				changes = append(changes, limitChange{m.now, l})
+				spend()
+			},
+			"": func(t *rapid.T) {
+				// The highest limit in the window or the one before it.
+				highest := func(from, to time.Duration) quota.Limit {
+					l := quota.Limit{}
+					for i, c := range changes {
+						ended := i+1 < len(changes) && changes[i+1].at < from
+						if c.at <= to && !ended {
+							l.Rate, l.Burst = max(l.Rate, c.limit.Rate), max(l.Burst, c.limit.Burst)
+						}
+					}
+					return l
+				}
+				if over, at := m.excess(name, highest); over > 0 {
+					t.Fatalf("%.0f requests above the bound in the window until %v of %v", over, at, m.now)
+				}
+			},
+		})
+	})
+}
+
+// TestOwnerLost guards against tenants that stay without tokens after their owner has died, was cut off, or has stopped,
+// and against a bound that is exceeded meanwhile.
+func TestOwnerLost(t *testing.T) {
+	limit := quota.Limit{Name: "t", Rate: 129, Burst: 129}
+	for _, c := range []struct {
+		name    string
+		longest time.Duration // without a share
+		fault   func(m *simMesh, owner *simNode)
+	}{
+		{"dies", 4 * time.Second, func(_ *simMesh, owner *simNode) { owner.down = true }},
+		{"frozen", 4 * time.Second, func(m *simMesh, owner *simNode) { owner.frozenTill = m.now + 8*time.Second }},
+		{"cut off", 4 * time.Second, func(m *simMesh, owner *simNode) {
+			for i := range m.nodes {
+				m.cut[[2]int{min(i, owner.index), max(i, owner.index)}] = true
+			}
+		}},
+		{"stops", 1500 * time.Millisecond, func(m *simMesh, owner *simNode) {
+			for address, gs := range owner.granter.Release(owner.clock(m)) {
+				for _, g := range gs {
+					m.send(owner, address, g)
+				}
+			}
+			m.advance(300*time.Millisecond, nil)
+			owner.down = true
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newSimMesh(9, []quota.Limit{limit}, 7)
+			everywhere := []int{0, 1, 2, 3, 4, 5, 6, 7, 8}
+			load := m.arrivals("t", limit.Rate/1.6, everywhere)
+			m.advance(8*time.Second, load)
+			_, shard := quota.Identify("t")
+			var owner *simNode
+			for _, n := range m.nodes {
+				if n.granter.Share(shard, n.clock(m)) > 0.5 {
+					owner = n
+				}
+			}
+			if owner == nil {
+				t.Fatal("no node owns the tenant")
+			}
+			failedAt := m.now
+			c.fault(m, owner)
+			m.advance(10*time.Second, load)
+			for s := failedAt; s < m.now; s += time.Second {
+				t.Logf("second %d: %d ran, %d refused", (s-failedAt)/time.Second, between(m.runs["t"], s, s+time.Second), between(m.refusals["t"], s, s+time.Second))
+			}
+			late := between(m.wrong["t"], failedAt+c.longest, m.now)
+			ran := between(m.runs["t"], failedAt+c.longest, m.now)
+			if late*20 > ran {
+				t.Errorf("%d refused, %d ran later than %v after the fault", late, ran, c.longest)
+			}
+			if over, at := m.excess("t", func(_, _ time.Duration) quota.Limit { return limit }); over > 0 {
+				t.Errorf("%.0f requests above the bound until %v", over, at)
+			}
+		})
+	}
+}
