spender: withdraw the share before a change to another owner

Nodes that changed to an owner that came back lent nothing for a token term and asked the new owner, which had few shares yet. A node now stays with the former owner until it has confirmed that the share is not in use.

--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -35,7 +35,7 @@
 	avoidFor = 10 * time.Second
 	// changeSpread is the time over which the nodes change to an owner that has come back. The former one goes on
 	// meanwhile, so the tenants of the shard never have to do without most of their shares.
-	changeSpread = 3 * time.Second
+	changeSpread = 5 * time.Second
 	// limitedFor is the time without a refusal after which a tenant is not limited any more.
 	limitedFor = 5 * time.Second
 )
@@ -81,11 +81,10 @@
 	lentAt     time.Duration
 	lent       bool          // lentAt is set
 	freeAt     time.Duration // from when this node's share may be lent to owner
-	former     process       // the owner before, until it has confirmed that it does not use the share
-	formerEnd  uint64        // stamp of the report that ended the loan to it
-	farewell   bool          // that report is due
-	changeAt   time.Duration // when to change to next
 	next       string        // owner to change to, or the empty string
+	changeAt   time.Duration // when to withdraw the share for that
+	withdrawn  bool          // the share is not lent to owner any more
+	withdrawal uint64        // stamp of the first report that said so, or 0
 	reportedAt time.Duration
 	reported   bool
 	answered   bool
@@ -177,16 +176,13 @@
 	for i := range s.loans {
 		l := &s.loans[i]
 		best := s.chooseOwner(uint8(i), alive)
-		gone := l.owner.address != s.self && (!slices.Contains(alive, l.owner.address) || s.avoided[l.owner.address] > 0)
-		switch {
-		case best == l.owner.address:
-			l.next = ""
-			continue
-		case l.owner.address != "" && !gone && l.next != best:
-			part := float64(xxhash.Sum64String(s.self+" changes "+best)) / math.MaxUint64
-			l.next, l.changeAt = best, now+time.Duration(part*float64(changeSpread))
+		if best == l.owner.address {
+			l.next, l.withdrawn, l.withdrawal = "", false, 0
 			continue
-		case l.owner.address != "" && !gone && now < l.changeAt:
+		}
+		gone := l.owner.address != s.self && (!slices.Contains(alive, l.owner.address) || s.avoided[l.owner.address] > 0)
+		alone := l.owner.address == s.self && !l.lent
+		if !gone && !alone && l.owner.address != "" && !s.withdraw(l, best, now) {
 			continue
 		}
 		changes = append(changes, Change{Shard: uint8(i), Owner: best, From: l.owner.address})
@@ -195,6 +191,23 @@
 	return changes
 }
 
+// withdraw withdraws the share from an owner that is alive before the change to the next one, and reports whether it may
+// be lent again. Until then the node gets its tokens from the former owner, which has the shares of the nodes that have
+// not changed yet.
+func (s *Spender) withdraw(l *loan, next string, now time.Duration) bool {
+	if l.next != next {
+		part := float64(xxhash.Sum64String(s.self+" changes "+next)) / math.MaxUint64
+		l.next, l.changeAt = next, now+time.Duration(part*float64(changeSpread))
+	}
+	if now < l.changeAt {
+		return false
+	}
+	if !l.withdrawn {
+		l.withdrawn, l.withdrawal, l.dueAt = true, 0, now
+	}
+	return !l.lent && now >= l.freeAt
+}
+
 // chooseOwner returns the owner of a shard by rendezvous hashing.
 func (s *Spender) chooseOwner(n uint8, alive []string) string {
 	score := func(address string) uint64 { return xxhash.Sum64String(address + " " + string('a'+rune(n))) }
@@ -213,9 +226,9 @@
 func (s *Spender) changeOwner(l *loan, owner string, now time.Duration) {
 	if l.lent {
 		l.freeAt = max(l.freeAt, l.lentAt+s.terms.Share)
-		l.former, l.farewell, l.formerEnd = l.owner, true, 0
 	}
-	l.owner, l.echo, l.next, l.lent = process{address: owner}, 0, "", false
+	l.owner, l.echo, l.lent = process{address: owner}, 0, false
+	l.next, l.withdrawn, l.withdrawal = "", false, 0
 	l.reported, l.dueAt = false, now
 }
 
@@ -250,12 +263,6 @@
 	var out []Outgoing
 	for i := range s.loans {
 		l := &s.loans[i]
-		if l.farewell {
-			l.farewell, l.formerEnd = false, s.stamp(now)
-			out = append(out, Outgoing{Owner: l.former.address, Report: &quota.Report{
-				Shard: uint8(i), Incarnation: s.incarnation, Stamp: l.formerEnd,
-			}})
-		}
 		if l.owner.address != "" && s.due(uint8(i), as.byShard[i]) <= now {
 			if r := s.report(uint8(i), as.byShard[i], now); r != nil {
 				out = append(out, Outgoing{Owner: l.owner.address, Report: r})
@@ -315,7 +322,9 @@
 		}
 	}
 	l.dueAt = now + s.terms.Interval
-	if count := s.nodeCount(now); count > 0 && l.echo > 0 && now >= l.freeAt {
+	if l.withdrawn {
+		l.withdrawal = cmp.Or(l.withdrawal, r.Stamp)
+	} else if count := s.nodeCount(now); count > 0 && l.echo > 0 && now >= l.freeAt {
 		r.Lent = uint32(count)
 		l.lent, l.lentAt = true, now
 	}
@@ -373,11 +382,6 @@
 	if g.Released {
 		s.avoided[from] = now + avoidFor
 	}
-	if l.former == (process{from, g.Incarnation}) && (g.Released || l.formerEnd > 0 && g.Echo >= l.formerEnd) {
-		// The tokens that it has granted expire within their term from now.
-		l.freeAt = min(l.freeAt, now+s.terms.Token)
-		l.former = process{}
-	}
 	if from != l.owner.address || g.Incarnation < l.owner.incarnation ||
 		g.Incarnation == l.owner.incarnation && g.Stamp <= l.echo {
 		return 0
@@ -392,7 +396,8 @@
 		l.dueAt = min(l.dueAt, now+coalesceFor)
 	}
 	l.echo, l.answered = g.Stamp, true
-	if g.Released && l.lent {
+	if l.lent && (g.Released || l.withdrawal > 0 && g.Echo >= l.withdrawal) {
+		// The tokens that the owner has granted with the share expire within their term from now.
 		l.freeAt, l.lent = max(l.freeAt, now+s.terms.Token), false
 	}
 	valid := time.Duration(g.Echo)*time.Microsecond + s.terms.Token
