receiver, booter: requests over a tenant's limit get 429

A request takes a token before it is forwarded, on routes that need a key, and the token is returned if the request has not run within the term for returns. The tests of the part run its goroutines in a bubble of virtual time.

--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -26,6 +26,7 @@
 	"wisteriaspoke.example/mesh/pauser"
 	"wisteriaspoke.example/mesh/pipeliner"
 	"wisteriaspoke.example/mesh/plan"
+	"wisteriaspoke.example/mesh/quota"
 	"wisteriaspoke.example/mesh/rule"
 	"wisteriaspoke.example/mesh/tenant"
 	"wisteriaspoke.example/mesh/view"
@@ -93,6 +94,14 @@
 	SetRefusalHeaders(h http.Header, id string, wait time.Duration)
 }
 
+// rateLimiter keeps the requests of a tenant within its limit.
+type rateLimiter interface {
+	// Take takes a token for a request, or returns false and after which time the request may come again.
+	Take(ctx context.Context, t *tenant.Tenant) (retryAfter time.Duration, ok bool)
+	// Return credits the token of a request that did not run.
+	Return(t *tenant.Tenant)
+}
+
 // memoryLimiter bounds the memory for bodies.
 type memoryLimiter interface {
 	// BodyBuffer returns the bytes of callers' request bodies that may be in memory.
@@ -111,6 +120,7 @@
 	views       viewSource
 	identity    identity
 	dialect     dialect
+	rateLimiter rateLimiter
 	bodyBuffer  int64 // bytes of request bodies that may be in memory
 	listener    *net.TCPListener
 	held        atomic.Int64
@@ -149,6 +159,9 @@
 	if r.dialect, err = kernel.Need[dialect](k); err != nil {
 		return nil, err
 	}
+	if r.rateLimiter, err = kernel.Need[rateLimiter](k); err != nil {
+		return nil, err
+	}
 	memory, err := kernel.Need[memoryLimiter](k)
 	if err != nil {
 		return nil, err
@@ -338,11 +351,21 @@
 	defer cancel()
 	// A request that began before the drain may have a later deadline.
 	defer context.AfterFunc(r.ending, cancel)()
+	limited := t != nil && keyHash != nil && t.RatePerSecond() > 0
+	if limited {
+		if wait, ok := r.rateLimiter.Take(ctx, t); !ok {
+			return r.refuse(q, http.StatusTooManyRequests, "the tenant is over its limit", wait)
+		}
+	}
+	taken := time.Now()
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
 		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
 		Tenant: tenantName(t), KeyHash: keyHash, Priority: priority(t, match),
 	})
+	if limited && a.Ran() == answer.No && time.Since(taken) < quota.ReturnTerm {
+		r.rateLimiter.Return(t)
+	}
 	durationHistogram(match.Name()).Update(time.Since(begun).Milliseconds())
 	if caller.Err() != nil {
 		r.logLeft(id, match.Name(), begun, a.Ran())
