--- a/mesh/ratelimiter/chaos_test.go
+++ b/mesh/ratelimiter/chaos_test.go
@@ -122,6 +122,56 @@
 	})
 }
 
+// TestHeldTokens guards against tokens that lie unused at nodes while the bucket fills again as if they were gone: a
+// tenant that has been nearly idle then sends 20 times its limit.
+func TestHeldTokens(t *testing.T) {
+	limit := quota.Limit{Name: "t", Rate: 300, Burst: 150}
+	for _, c := range []struct {
+		name   string
+		before func(m *simMesh, load func())
+	}{
+		{"held", func(m *simMesh, load func()) { m.advance(3*time.Second, load) }},
+		{"delayed grants", func(m *simMesh, load func()) {
+			m.delay = func() time.Duration { return time.Duration(m.random.Int64N(int64(1500 * time.Millisecond))) }
+			m.advance(8*time.Second, load)
+		}},
+		{"grants delayed until the surge", func(m *simMesh, load func()) {
+			end := m.now + 3*time.Second
+			m.delay = func() time.Duration { return max(0, end-m.now) }
+			m.advance(3*time.Second, load)
+			m.delay = func() time.Duration { return 0 }
+		}},
+		{"suspended holders", func(m *simMesh, load func()) {
+			m.advance(time.Second, load)
+			for _, n := range m.nodes[:2] {
+				n.frozenTill = m.now + 2500*time.Millisecond
+			}
+			m.advance(2500*time.Millisecond, load)
+		}},
+		{"owner changes", func(m *simMesh, load func()) {
+			for i := range m.nodes {
+				for j := range i {
+					m.cut[[2]int{j, i}] = i%2 != j%2
+				}
+			}
+			m.advance(500*time.Millisecond, load)
+			clear(m.cut)
+			m.advance(500*time.Millisecond, load)
+		}},
+	} {
+		for seed := range uint64(10) {
+			m := newSimMesh(quota.Bounds{Window: 5 * time.Second, Overage: 0.1}, 5, []quota.Limit{limit}, seed)
+			nodes := []int{0, 1, 2, 3, 4}
+			m.advance(6*time.Second, m.arrivals("t", limit.Rate/2, nodes))
+			c.before(m, m.arrivals("t", limit.Rate/2, nodes))
+			m.advance(7*time.Second, m.arrivals("t", 20*limit.Rate, nodes))
+			if over, at := m.excess("t", func(_, _ time.Duration) quota.Limit { return limit }); over > 0 {
+				t.Errorf("%s, seed %d: %.0f requests above the bound until %v", c.name, seed, over, at)
+			}
+		}
+	}
+}
+
 // TestOwnerLost guards against tenants that stay without tokens after their owner has died, was cut off, or has stopped,
 // and against a bound that is exceeded meanwhile.
 func TestOwnerLost(t *testing.T) {
--- a/mesh/ratelimiter/mesh_test.go
+++ b/mesh/ratelimiter/mesh_test.go
@@ -29,9 +29,10 @@
 	cut    map[[2]int]bool
 	delay  func() time.Duration // added to the latency of a message
 	// notRun is the chance that a request is admitted and then does not run.
-	notRun float64
-	limits []quota.Limit
-	runs   map[string][]time.Duration // by tenant
+	notRun     float64
+	someNotRun bool
+	limits     []quota.Limit
+	runs       map[string][]time.Duration // by tenant
 	// refusals holds the times of refused requests by tenant, wrong those of tenants that a central counter does not limit.
 	refusals map[string][]time.Duration
 	wrong    map[string][]time.Duration
@@ -265,6 +266,7 @@
 // record counts a request that was admitted.
 func (m *simMesh) record(n *simNode, a *spender.Account) {
 	if m.random.Float64() < m.notRun {
+		m.someNotRun = true
 		n.returns = append(n.returns, simReturn{a, m.now + time.Duration(m.random.Int64N(int64(quota.ReturnTerm)))})
 		return
 	}
@@ -328,7 +330,10 @@
 			first++
 		}
 		l := limit(t-2*m.bounds.Window, t)
-		allowed := l.Rate*m.bounds.Window.Seconds() + m.bounds.Stock(l) + m.bounds.Returns(l)
+		allowed := l.Rate*m.bounds.Window.Seconds() + m.bounds.Stock(l)
+		if m.someNotRun {
+			allowed += m.bounds.Returns(l)
+		}
 		if over := float64(i-first+1) - allowed; over > worst {
 			worst, at = over, t
 		}
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -170,6 +170,10 @@
 	if n := max(peak, addresses); n > max(s.members, s.current) {
 		s.grownAt = now
 	}
+	if peak == 1 {
+		// A node that has reached none of the others does not take their shares when it stops trying.
+		addresses = max(addresses, s.current)
+	}
 	s.members, s.current = max(s.members, peak), addresses
 	maps.DeleteFunc(s.avoided, func(_ string, until time.Duration) bool { return until <= now })
 	var changes []Change
--- /dev/null
+++ b/mesh/spender/spender_test.go
@@ -0,0 +1,177 @@
+package spender
+
+import (
+	"testing"
+	"time"
+
+	"wisteriaspoke.example/mesh/quota"
+)
+
+var (
+	bounds   = quota.Bounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	terms    = bounds.Terms()
+	limit    = quota.Limit{Name: "t", Rate: 100, Burst: 100}
+	id, part = quota.Identify("t")
+)
+
+const hour = time.Hour // a reading of this host's clock
+
+// newNode returns a node that knows the number of nodes, and its report to the owner "o".
+func newNode(t *testing.T) (*Spender, *Account, *quota.Report) {
+	t.Helper()
+	s := New(bounds, "a", 3, hour)
+	s.SetLimits([]quota.Limit{limit})
+	s.Hear(4)
+	s.SetNodes([]string{"o"}, 4, 4, hour)
+	s.changeOwner(&s.loans[part], "o", hour)
+	a := s.Existing("t")
+	a.Take(hour)
+	return s, a, reportOf(t, s, hour)
+}
+
+func reportOf(t *testing.T, s *Spender, now time.Duration) *quota.Report {
+	t.Helper()
+	for _, o := range s.Due(now) {
+		if o.Report.Shard == part {
+			return o.Report
+		}
+	}
+	t.Fatal("no report is due")
+	return nil
+}
+
+func grantOf(r *quota.Report, incarnation, stamp uint64, tokens uint32) *quota.Grant {
+	return &quota.Grant{
+		Shard: part, Incarnation: incarnation, Stamp: stamp, Reporter: r.Incarnation, Echo: r.Stamp,
+		Gifts: []quota.Gift{{ID: id, Tokens: tokens, Renewed: true}},
+	}
+}
+
+// TestTokenTerm guards against tokens of a delayed grant that are used when the owner counts them as expired: their term
+// begins with the report.
+func TestTokenTerm(t *testing.T) {
+	s, a, r := newNode(t)
+	if n := s.Handle("o", grantOf(r, 1, 1, 5), hour+terms.Token-time.Millisecond); n != 5 {
+		t.Errorf("%d tokens of a grant in time", n)
+	}
+	if !a.Take(hour + terms.Token - time.Microsecond) {
+		t.Error("a valid token is not used")
+	}
+	if a.Take(hour + terms.Token) {
+		t.Error("an expired token is used")
+	}
+	s, a, r = newNode(t)
+	if n := s.Handle("o", grantOf(r, 1, 1, 5), hour+terms.Token); n != 0 || a.Take(hour+terms.Token) {
+		t.Errorf("%d tokens of a grant that is too late", n)
+	}
+}
+
+// TestStaleGrants guards against tokens that the owner does not count any more: of a delayed grant, of an earlier process
+// of the owner, and for an earlier process of this node.
+func TestStaleGrants(t *testing.T) {
+	s, _, r := newNode(t)
+	s.Handle("o", grantOf(r, 2, 9, 1), hour)
+	former := grantOf(r, 2, 11, 5)
+	former.Reporter = 2
+	for name, g := range map[string]*quota.Grant{
+		"delayed": grantOf(r, 2, 8, 5), "repeated": grantOf(r, 2, 9, 5), "of an earlier owner": grantOf(r, 1, 10, 5), "for an earlier process": former,
+	} {
+		if n := s.Handle("o", g, hour); n != 0 {
+			t.Errorf("%d tokens of a grant that is %s", n, name)
+		}
+	}
+	if n := s.Handle("x", grantOf(r, 2, 12, 5), hour); n != 0 {
+		t.Errorf("%d tokens of a node that is not the owner", n)
+	}
+}
+
+// TestNotRenewed guards against tokens whose term is extended after the owner's share has ended.
+func TestNotRenewed(t *testing.T) {
+	s, a, r := newNode(t)
+	s.Handle("o", grantOf(r, 1, 1, 5), hour)
+	later := hour + terms.Interval
+	g := grantOf(reportOf(t, s, later), 1, 2, 0)
+	g.Gifts[0].Renewed = false
+	s.Handle("o", g, later)
+	if a.Take(hour + terms.Token) {
+		t.Error("a token is used after its term")
+	}
+}
+
+// TestShare guards against a share that is lent to two owners at a time: after the loss of an owner only when its use has
+// ended, after a confirmation as soon as its tokens have expired.
+func TestShare(t *testing.T) {
+	s, _, r := newNode(t)
+	if r.Lent != 0 {
+		t.Error("the share is lent before the owner's timestamp is known")
+	}
+	s.Handle("o", grantOf(r, 1, 1, 0), hour)
+	lentAt := hour + terms.Interval
+	if r = reportOf(t, s, lentAt); r.Lent != 4 || r.Echo != 1 || r.OwnerIncarnation != 1 {
+		t.Errorf("lent with %+v", r)
+	}
+	s.changeOwner(&s.loans[part], "p", lentAt)
+	for _, c := range []struct {
+		at   time.Duration
+		lent uint32
+	}{{lentAt + terms.Interval, 0}, {lentAt + terms.Share - time.Millisecond, 0}, {lentAt + terms.Share + terms.Interval, 4}} {
+		r = reportOf(t, s, c.at)
+		if r.Lent != c.lent {
+			t.Errorf("lent %d after %v, want %d", r.Lent, c.at-lentAt, c.lent)
+		}
+		s.Handle("p", grantOf(r, 1, r.Stamp, 0), c.at)
+	}
+}
+
+// TestNodeCount guards against a process that takes a larger share than its own because it has just started.
+func TestNodeCount(t *testing.T) {
+	s := New(bounds, "a", 1, hour)
+	for _, c := range []struct {
+		after           time.Duration
+		peak, addresses int
+		heard           uint32
+		want            int
+	}{
+		{0, 1, 1, 0, 0},
+		{time.Second, 2, 5, 0, 0},
+		{2 * time.Second, 5, 5, 0, 0},
+		{3100 * time.Millisecond, 5, 5, 0, 5},
+		{4 * time.Second, 5, 1, 83, 83},
+		{5 * time.Second, 84, 84, 83, 84},
+	} {
+		s.SetNodes(nil, c.peak, c.addresses, hour+c.after)
+		s.Hear(c.heard)
+		if n := s.nodeCount(hour + c.after); n != c.want {
+			t.Errorf("after %v: %d nodes, want %d", c.after, n, c.want)
+		}
+	}
+	alone := New(bounds, "a", 1, hour)
+	alone.SetNodes(nil, 1, 83, hour)
+	alone.SetNodes(nil, 1, 1, hour+50*time.Second)
+	if n := alone.nodeCount(hour + time.Minute); n != 83 {
+		t.Errorf("a node that reaches none of 82 others takes 1/%d", n)
+	}
+}
+
+// TestRetryAfter guards against refused callers that return at the same time, or before there are tokens for them.
+func TestRetryAfter(t *testing.T) {
+	s, a, r := newNode(t)
+	g := grantOf(r, 1, 1, 0)
+	g.Gifts[0].Wait, g.Gifts[0].Rate = 200, 10_000
+	s.Handle("o", g, hour)
+	if a.Wait(hour, 100*time.Millisecond) != nil {
+		t.Error("a request waits although the owner has nothing in time")
+	}
+	for i := range 50 {
+		earliest := 200*time.Millisecond + time.Duration(i)*100*time.Millisecond
+		if wait := a.Refuse(hour, 0.5); wait < earliest || wait > earliest+100*time.Millisecond {
+			t.Errorf("refusal %d returns after %v, want a time of its own from %v", i, wait, earliest)
+		}
+	}
+	for range 50 {
+		a.Refuse(hour, 0.5)
+	}
+	if wait := a.Refuse(hour, 0.9); wait > maxRetryAfter {
+		t.Errorf("Retry-After %v", wait)
+	}
+}
