--- a/mesh/granter/bucket.go
+++ b/mesh/granter/bucket.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	// refreshInterval is how often the fair rate of a bucket's nodes is computed.
-	refreshInterval = 50 * time.Millisecond
+	// refreshInterval is how often the fair rate of a bucket's nodes is computed and expired tokens are removed.
+	refreshInterval = 100 * time.Millisecond
 	// activeFor is how long a reported demand counts.
 	activeFor = 1500 * time.Millisecond
 	// maxSaved is the time for which a node's part of the rate is kept for its next report.
 	maxSaved = time.Second
 	// minWait and maxWait bound the time for which a node is told that there is nothing more for it.
-	minWait = 100 * time.Millisecond
-	maxWait = 400 * time.Millisecond
+	minWait = 250 * time.Millisecond
+	maxWait = 500 * time.Millisecond
 	// waitingFraction is the part of the stock that is kept for requests that wait.
 	waitingFraction = 0.4
 	// minRate is the demand, in requests a second, for which a node that has just begun to ask is considered.
@@ -129,7 +129,6 @@
 
 // grant decides what a node gets.
 func (b *bucket) grant(n *node, need quota.Need, now time.Duration) quota.Gift {
-	b.refresh(now)
 	b.accrue(n, now)
 	g := quota.Gift{ID: need.ID}
 	b.owed -= n.saved
@@ -181,12 +180,14 @@
 // may not: those who lent the shares use them elsewhere once the tokens have expired.
 func (b *bucket) renewable() bool { return b.outstanding <= b.stock*b.share }
 
-// refresh computes the fair rate and what the nodes have saved.
-func (b *bucket) refresh(now time.Duration) {
+// refresh removes expired tokens, whose number it returns, and computes the fair rate and what the nodes have saved. It
+// looks at all nodes, so it does nothing more often than each refreshInterval.
+func (b *bucket) refresh(now time.Duration) (expired uint64) {
 	if b.refreshedAt != 0 && now-b.refreshedAt < refreshInterval {
-		return
+		return 0
 	}
 	b.refreshedAt = now
+	expired = b.expire(now)
 	rates := make([]float64, 0, len(b.nodes))
 	for _, n := range b.nodes {
 		if now-n.seenAt <= activeFor {
@@ -203,6 +204,7 @@
 		owed += n.saved
 	}
 	b.owed = owed
+	return expired
 }
 
 // accrue saves a node's part of the rate since the last time.
--- a/mesh/granter/granter.go
+++ b/mesh/granter/granter.go
@@ -157,7 +157,7 @@
 			continue
 		}
 		b.advance(s.filled, s.total, now)
-		g.counts.Expired += b.expire(now)
+		g.counts.Expired += b.refresh(now)
 		n := b.nodes[from]
 		if n == nil {
 			n = &node{accruedAt: now}
