--- a/mesh/granter/granter_test.go
+++ b/mesh/granter/granter_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// TestReturned guards against tokens of requests that waited long and were refused together, and then run together: no more
+// is credited in a term than the bound has room for.
+func TestReturned(t *testing.T) {
+	g, _ := newOwner(t)
+	g.Handle("holder", &quota.Report{
+		Shard: part, Incarnation: 1, Stamp: 1, OwnerIncarnation: 7, Needs: []quota.Need{{ID: id, Returned: 1000}},
+	}, hour)
+	if level := g.shards[part].buckets[id].level; level <= 0 || level > bounds.Returns(limit)/2 {
+		t.Errorf("%g tokens credited, want at most %g", level, bounds.Returns(limit)/2)
+	}
+}
+
 // TestFairRate guards against a division that exceeds the total, wastes some of it, or favours a node.
 func TestFairRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
