spender, granter: small tenants whose requests are few at each node

Change: nodes hold reserves only where half of the stock covers all of them, else they ask when a request comes; parts of less than a token a second give no node precedence; a request does not wait for the answer to an earlier report.

--- a/mesh/granter/bucket.go
+++ b/mesh/granter/bucket.go
@@ -139,7 +139,10 @@
 	}
 	n.saved = min(n.saved, lacks)
 	kept := waitingFraction * b.stock * b.share
-	scarce := !math.IsInf(b.fair, 1) && b.level < kept
+	short := !math.IsInf(b.fair, 1) && b.level < kept
+	// Parts of less than a token a second say nothing of a node that sends a request now and then. Its requests are served in
+	// the order of their arrival.
+	scarce := short && b.fair*maxSaved.Seconds() >= 1
 	urgent := max(0, min(lacks, float64(need.Waiting)-float64(n.unconfirmed())))
 	tokens := 0.0
 	if scarce {
--- a/mesh/ratelimiter/load_test.go
+++ b/mesh/ratelimiter/load_test.go
@@ -73,6 +73,35 @@
 	}
 }
 
+// TestSparseTenants answers the load "24 nodes, and each tenant's requests arrive at all of them": a small tenant's requests are
+// few at each node, and tokens that lie at the other nodes must not keep them from being served.
+func TestSparseTenants(t *testing.T) {
+	var ls []quota.Limit
+	for i, rate := range []float64{137, 51, 37, 26, 20, 16, 14, 11, 10, 9, 8, 7, 7, 6, 6} {
+		ls = append(ls, quota.Limit{Name: fmt.Sprintf("tenant-%d", i), Rate: rate, Burst: rate})
+	}
+	for seed := range uint64(3) {
+		m := newSimMesh(testBounds, 24, ls, seed)
+		m.advance(settle, nil)
+		began := m.now
+		nodes := make([]int, len(m.nodes))
+		for i := range nodes {
+			nodes[i] = i
+		}
+		var loads []func()
+		for _, l := range m.limits {
+			loads = append(loads, m.arrivals(l.Name, l.Rate/1.6, nodes))
+		}
+		m.advance(12*time.Second, all(loads))
+		for _, l := range m.limits {
+			if n := between(m.wrong[l.Name], began+time.Second, m.now); n > 0 {
+				t.Errorf("seed %d: %d requests of %s (%g/s) below the limit were refused, %d ran", seed, n, l.Name, l.Rate, len(m.runs[l.Name]))
+			}
+		}
+		t.Logf("seed %d: %d messages/s", seed, m.messages/int(m.now/time.Second))
+	}
+}
+
 // TestOneTenantFiveTimes answers the load "one tenant sends five times its usual": it gets nearly its limit and not more
 // than the bound, and the others are not refused.
 func TestOneTenantFiveTimes(t *testing.T) {
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -21,12 +21,18 @@
 	roundTrip = 100 * time.Millisecond
 	// reserve is the number of tokens for requests beyond the measured demand.
 	reserve = 1
+	// reservedPart is the largest part of a tenant's stock that all nodes together may hold as reserves. A tenant whose stock
+	// is too small for that has no reserves, as its requests would find the tokens at other nodes.
+	reservedPart = 0.5
 	// reserveFor is how long after its last request a tenant's reserve is kept.
 	reserveFor = 10 * time.Second
 	// spareTokens is the number of tokens beyond its need that a node keeps.
 	spareTokens = 1
 	// coalesceFor is how long a report for a request that waits is held back for others.
 	coalesceFor = 10 * time.Millisecond
+	// unansweredPause is the shortest time between two reports for requests that wait while the first is not answered. A
+	// request would wait too long if its report came only after that answer from another region.
+	unansweredPause = 2 * coalesceFor
 	// lowInterval is the shortest time between two reports because tokens have run out while no request waits.
 	lowInterval = 250 * time.Millisecond
 	// settleTime is how long the number of nodes must not have grown before a process that has not heard it uses it.
@@ -43,6 +49,7 @@
 // Spender holds the accounts of all tenants with a limit. Account is safe for concurrent use; all other methods belong
 // to one goroutine. Times are readings of this host's boot-time clock.
 type Spender struct {
+	bounds      quota.Bounds
 	terms       quota.Terms
 	incarnation uint64
 	self        string
@@ -116,7 +123,7 @@
 // New returns the spender of a process on the node with address self; incarnation grows with each start.
 func New(b quota.Bounds, self string, incarnation uint64, now time.Duration) *Spender {
 	s := &Spender{
-		terms: b.Terms(), incarnation: incarnation, self: self, avoided: map[string]time.Duration{}, grownAt: now,
+		bounds: b, terms: b.Terms(), incarnation: incarnation, self: self, avoided: map[string]time.Duration{}, grownAt: now,
 	}
 	s.accounts.Store(newDirectory(nil))
 	return s
@@ -297,7 +304,7 @@
 		case a.urgent.Load() && (l.answered || !l.reported):
 			at = min(at, l.reportedAt+coalesceFor)
 		case a.urgent.Load():
-			at = min(at, l.reportedAt+roundTrip)
+			at = min(at, l.reportedAt+unansweredPause)
 		case a.low.Load():
 			at = min(at, max(l.reportedAt+lowInterval, time.Duration(a.emptyTill.Load())))
 		}
@@ -347,7 +354,7 @@
 	}
 	want := 0
 	if a.arrived && now-a.arrivedAt < reserveFor {
-		want = int(math.Ceil(a.rate*(s.terms.Interval+roundTrip).Seconds())) + reserve + waiting
+		want = s.stockpile(a, now) + waiting
 	}
 	need := quota.Need{
 		ID: a.id, Waiting: uint32(waiting), Want: uint32(want), Rate: uint32(a.rate * 1000), Returned: uint32(a.returned.Swap(0)),
@@ -362,6 +369,16 @@
 	return need, want > 0 || need.Held > 0 || need.Unused > 0 || need.Returned > 0
 }
 
+// stockpile returns how many tokens the node holds for requests that have not arrived: for its demand until the next grant,
+// and a reserve if the stock is large enough for one at each node.
+func (s *Spender) stockpile(a *Account, now time.Duration) int {
+	expected := a.rate * (s.terms.Interval + roundTrip).Seconds()
+	if reservedPart*s.bounds.Stock(*a.limit.Load()) < float64(reserve*s.nodeCount(now)) {
+		return int(expected)
+	}
+	return int(math.Ceil(expected)) + reserve
+}
+
 // measure updates the rate at which requests arrive.
 func (a *Account) measure(now time.Duration) {
 	total := a.arrivals.Load()
