--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -377,7 +377,7 @@
 	limited := t != nil && keyHash != nil && t.RatePerSecond() > 0
 	if limited {
 		if wait, ok := r.rateLimiter.Take(ctx, t); !ok {
-			return r.refuse(q, http.StatusTooManyRequests, "the tenant is over its limit", wait)
+			return r.refuse(q, http.StatusTooManyRequests, "tenant "+t.Name()+" is over its limit", wait)
 		}
 	}
 	taken := time.Now()
