membercounter: the nodes that share the limits, without those that stopped

Change: nodes that say that they stop no longer count; a count that others told ends with them; a node that starts lends its share at once if all nodes that it reaches, four fifths of those known, have started with it, else after the term of a share. Status messages have a new field, the age of the process. Test: membercounter TestCount, TestStartedTogether; ratelimiter TestBound, 3,000 checks. TestCount replaces spender TestNodeCount, whose rules it extends.

--- a/mesh/elector/elector.go
+++ b/mesh/elector/elector.go
@@ -18,6 +18,8 @@
 	StoreLatency   time.Duration // shortest response time of the store
 	StoreFailedAt  time.Time     // last failed call to the store, or zero; matters only while the store is not reachable
 	Alive          bool          // messages about it arrived recently
+	Leaving        bool          // it has said that it stops
+	Age            time.Duration // of its process
 }
 
 // Rank returns the number of nodes that precede own as watchers of the store. Nodes that reach the store come first,
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -142,7 +142,7 @@
 	statusQueued      atomic.Bool               // a statusChanged is among the inputs
 	leaving           atomic.Bool
 	peakPeerCount     atomic.Int64 // largest number of peers with a status at one time
-	addressCount      atomic.Int64 // peers with and without a status
+	addressCount      atomic.Int64 // peers with and without a status, but for those that have said that they stop
 
 	// The fields below are owned by the goroutine.
 	peers            map[string]*peer
@@ -151,6 +151,7 @@
 	plan             *plan.Plan
 	planSince        time.Time
 	own              peer // this node
+	startedAt        time.Time
 	lastSequence     uint64
 	pulledAt         time.Time            // when missing records were last pulled
 	heartbeatsSentAt time.Time            // when heartbeats were last sent to other regions
@@ -195,7 +196,7 @@
 	}
 	g.config, g.log, g.orderObservers = own.Config(), k.Log, kernel.All[orderObserver](k)
 	g.prover = findProver(k)
-	g.own = peer{address: g.config.Node, linked: true}
+	g.own, g.startedAt = peer{address: g.config.Node, linked: true}, g.now()
 	g.view.Store(view.New(nil, time.Time{}, nil))
 	g.nodes.Store(&[]elector.Candidate{})
 	end := make(chan error, 1)
@@ -217,7 +218,7 @@
 func (g *Gossiper) PeakNodeCount() int { return int(g.peakPeerCount.Load()) + 1 }
 
 // AddressCount returns the number of nodes, including this one, that are known at present or that this node tries to
-// reach. A node that has just started and is cut off learns from it that it is not alone.
+// reach, but for those that have said that they stop. A node that has just started and is cut off learns from it that it is not alone.
 func (g *Gossiper) AddressCount() int { return int(g.addressCount.Load()) + 1 }
 
 // Self returns this node as a candidate.
@@ -397,7 +398,7 @@
 	if p == nil {
 		p = &peer{address: address, linkChangedAt: g.now()}
 		g.peers[address] = p
-		g.addressCount.Store(int64(len(g.peers)))
+		g.addressCount.Add(1)
 		g.sender.Send(address, g.statusMessage())
 	}
 	return p
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -46,6 +46,7 @@
 	ServiceTimeRatio      int64              // the upstream's service time relative to the expected one, per mille
 	Endpoint              *endpoint.Endpoint // nil before the upstream announces itself
 	StoreFailureAge       int64              // milliseconds since the last failed call to the store, or negative without one
+	Age                   int64              // of the process, in milliseconds
 }
 
 // withdrawal is the message that tells a restarted node which upstream has left.
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -18,6 +18,7 @@
 	statusSentAt    time.Time    // when this node last sent its status to the peer
 	status          *status      // the newest received, or nil
 	storeFailedAt   time.Time    // last failed call to the store, or zero
+	startedAt       time.Time    // of its process, or later, as messages take time
 	relayedSequence uint64       // sequence number of its last heartbeat that another node relayed
 	withdrawn       withdrawal   // the upstream that left last for good, with all its starts until then
 	confirmed       revisions    // what it said it has, beside its status
@@ -43,6 +44,7 @@
 		StoreReachable: p.status.StoreReachable, StoreFailedAt: p.storeFailedAt,
 		StoreLatency: time.Duration(p.status.StoreLatency) * time.Millisecond, Alive: p.reachable(now, interval),
 	}
+	c.Leaving, c.Age = p.status.Leaving, now.Sub(p.startedAt)
 	if p.status.Leaving {
 		return rankedLast(c, now)
 	}
@@ -66,6 +68,9 @@
 	if old != nil && u.Incarnation != old.Incarnation {
 		p.relayedSequence, p.confirmed = 0, revisions{}
 	}
+	if startedAt := now.Add(-time.Duration(u.Age) * time.Millisecond); old == nil || old.Incarnation != u.Incarnation || startedAt.Before(p.startedAt) {
+		p.startedAt = startedAt
+	}
 	p.keepWithdrawal(u)
 	p.status, p.lastHeardAt = u, now
 	p.storeFailedAt = time.Time{}
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -40,7 +40,7 @@
 		DataCentre: g.config.DataCentre, Region: g.config.Region, StoreReachable: g.storeReachable.Load(),
 		StoreLatency: time.Duration(g.storeLatencyNanos.Load()).Milliseconds(), Leaving: g.leaving.Load(),
 		ConfigurationRevision: g.records.highest[record.Configuration], OrdersRevision: g.records.highest[record.Orders],
-		StoreFailureAge: -1,
+		StoreFailureAge: -1, Age: g.now().Sub(g.startedAt).Milliseconds(),
 	}
 	if failedAt := g.storeFailedAt.Load(); failedAt != nil {
 		u.StoreFailureAge = g.now().Sub(*failedAt).Milliseconds()
@@ -164,13 +164,16 @@
 
 func (g *Gossiper) publishNodes() {
 	now := g.now()
-	cs := make([]elector.Candidate, 0, len(g.peers))
+	cs, addresses := make([]elector.Candidate, 0, len(g.peers)), int64(0)
 	for _, p := range g.peers {
+		if p.status == nil || !p.status.Leaving {
+			addresses++
+		}
 		if p.status != nil {
 			cs = append(cs, p.candidate(now, g.peerHeartbeatInterval(p)))
 		}
 	}
 	g.nodes.Store(&cs)
 	g.peakPeerCount.Store(max(g.peakPeerCount.Load(), int64(len(cs))))
-	g.addressCount.Store(int64(len(g.peers)))
+	g.addressCount.Store(addresses)
 }
--- a/mesh/granter/bucket.go
+++ b/mesh/granter/bucket.go
@@ -34,6 +34,7 @@
 	nodes                map[string]*node
 
 	refreshedAt time.Duration
+	active      int     // nodes that have reported demand lately
 	fair        float64 // rate above which a node gets no more, so that the sum is the bucket's rate; +Inf if there is enough
 	owed        float64 // sum of the nodes' saved tokens
 
@@ -142,7 +143,7 @@
 	short := !math.IsInf(b.fair, 1) && b.level < kept
 	// Parts of less than a token a second say nothing of a node that sends a request now and then. Its requests are served in
 	// the order of their arrival.
-	scarce := short && b.fair*maxSaved.Seconds() >= 1
+	scarce := short && b.rate*b.share*maxSaved.Seconds() >= float64(b.active)
 	urgent := max(0, min(lacks, float64(need.Waiting)-float64(n.unconfirmed())))
 	tokens := 0.0
 	if scarce {
@@ -197,7 +198,7 @@
 			rates = append(rates, n.rate)
 		}
 	}
-	b.fair = fairRate(rates, b.rate*b.share)
+	b.active, b.fair = len(rates), fairRate(rates, b.rate*b.share)
 	owed := 0.0
 	for _, n := range b.nodes {
 		b.accrue(n, now)
--- /dev/null
+++ b/mesh/membercounter/membercounter.go
@@ -0,0 +1,119 @@
+package membercounter
+
+import (
+	"maps"
+	"time"
+)
+
+const (
+	// settleTime is how long the number of nodes must not have grown before a process that has just started uses it.
+	settleTime = time.Second
+	// heardTerm is how long a number is used that another node has told.
+	heardTerm = 5 * time.Second
+	// forgetAfter is how long a node counts that has vanished without saying that it stops. It may be cut off and use its
+	// share; regions lose each other for minutes.
+	forgetAfter = 10 * time.Minute
+	// majority is the number of parts of the known addresses of which more than one must be reached before those that have
+	// not answered for long are left out, so that at most one side of a partition does so.
+	majority = 2
+	// startSpread is the longest time between the starts of two nodes after a loss of power of the whole mesh.
+	startSpread = 500 * time.Millisecond
+	// startedFraction is the part of the known addresses that must be reached to tell that the whole mesh has started. Some
+	// are those of hosts that are gone.
+	startedFraction = 0.8
+)
+
+// Counter counts the nodes that may use a share of a limit. It errs towards a number that is too high, as shares are then
+// too small. It is not safe for concurrent use.
+type Counter struct {
+	startedAt time.Duration
+	seen      map[string]sighting
+	addresses int // nodes that this one knows or tries to reach, itself among them
+	heard     int
+	heardAt   time.Duration
+	grownAt   time.Duration
+	largest   int
+}
+
+// sighting is what is known of another node.
+type sighting struct {
+	at        time.Duration // when it was last known to run
+	startedAt time.Duration // when its process started, or later
+}
+
+// New returns the counter of a process that starts now.
+func New(now time.Duration) *Counter {
+	return &Counter{startedAt: now, seen: map[string]sighting{}, grownAt: now, addresses: 1, largest: 1}
+}
+
+// See records that another node runs, with a process of that age, or that it has said that it stops. Its share is free then.
+func (c *Counter) See(address string, leaving bool, age, now time.Duration) {
+	if leaving {
+		delete(c.seen, address)
+		return
+	}
+	c.seen[address] = sighting{at: now, startedAt: now - age}
+	if n := c.members(); n > c.largest {
+		c.largest, c.grownAt = n, now
+	}
+}
+
+// SetAddresses sets the number of nodes, including this one, that are known or that this node tries to reach. A node that
+// reaches only few of them keeps the largest number, as it gives up those that do not answer.
+func (c *Counter) SetAddresses(n int, now time.Duration) {
+	maps.DeleteFunc(c.seen, func(_ string, s sighting) bool { return now-s.at >= forgetAfter })
+	if n > c.addresses || c.reachesMajority() {
+		c.addresses = n
+	}
+}
+
+// Hear records the number of nodes that another node has told.
+func (c *Counter) Hear(n int, now time.Duration) {
+	if n > 0 && (n >= c.heard || now-c.heardAt > heardTerm) {
+		c.heard, c.heardAt = n, now
+	}
+}
+
+// Count returns the number of nodes, or 0 while it is not known.
+func (c *Counter) Count(now time.Duration) int {
+	if !c.settled(now) && c.heard == 0 && c.addresses == 1 {
+		return 0
+	}
+	n := max(c.members(), c.addresses)
+	if c.heard > 0 && now-c.heardAt <= heardTerm {
+		n = max(n, c.heard)
+	}
+	return n
+}
+
+// StartedTogether reports whether the whole mesh has started with this process, so that no process is left to which an
+// earlier one of this node can have lent its share.
+func (c *Counter) StartedTogether() bool {
+	if float64(c.members()) < startedFraction*float64(c.addresses) {
+		return false
+	}
+	for _, s := range c.seen {
+		if s.startedAt < c.startedAt-startSpread {
+			return false
+		}
+	}
+	return true
+}
+
+// Known returns the number of nodes that this one may tell others, or 0.
+func (c *Counter) Known(now time.Duration) int {
+	switch {
+	case !c.settled(now):
+		return 0
+	case !c.reachesMajority():
+		return c.addresses
+	}
+	return c.members()
+}
+
+func (c *Counter) members() int { return len(c.seen) + 1 }
+
+func (c *Counter) settled(now time.Duration) bool { return now-c.grownAt >= settleTime }
+
+// reachesMajority reports whether enough of the known addresses answer to leave out the others.
+func (c *Counter) reachesMajority() bool { return majority*c.members() > c.addresses }
--- a/mesh/ratelimiter/ratelimiter.go
+++ b/mesh/ratelimiter/ratelimiter.go
@@ -57,8 +57,6 @@
 type cluster interface {
 	// Nodes returns the other nodes that have sent a status.
 	Nodes() []elector.Candidate
-	// PeakNodeCount returns the largest number of nodes, including this one, that were known at one time.
-	PeakNodeCount() int
 	// AddressCount returns the number of nodes, including this one, that are known or that it tries to reach.
 	AddressCount() int
 	// View returns the current view with the configuration.
@@ -275,12 +273,12 @@
 func (r *RateLimiter) handle(from string, m message.Message) {
 	switch b := m.Body().(type) {
 	case *quota.Report:
-		r.spender.Hear(b.NodeCount)
+		r.spender.Members().Hear(int(b.NodeCount), r.now())
 		g := r.granter.Handle(from, b, r.now())
 		if g == nil {
 			return
 		}
-		g.NodeCount = r.spender.NodeCount(r.now())
+		g.NodeCount = uint32(r.spender.Members().Known(r.now()))
 		r.send(from, message.New(kindGrant, g))
 	case *quota.Grant:
 		r.spender.Handle(from, b, r.now())
@@ -302,11 +300,15 @@
 	}
 	var alive []string
 	for _, c := range r.cluster.Nodes() {
+		if c.Alive || c.Leaving {
+			r.spender.Members().See(c.Address, c.Leaving, c.Age, now)
+		}
 		if c.Alive {
 			alive = append(alive, c.Address)
 		}
 	}
-	for _, c := range r.spender.SetNodes(alive, r.cluster.PeakNodeCount(), r.cluster.AddressCount(), now) {
+	r.spender.Members().SetAddresses(r.cluster.AddressCount(), now)
+	for _, c := range r.spender.SetNodes(alive, now) {
 		r.log.Info("owner of limits changed", "shard", c.Shard, "owner", c.Owner, "from", c.From)
 	}
 	for _, t := range r.spender.Transitions(now) {
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"wisteriaspoke.example/mesh/membercounter"
 	"wisteriaspoke.example/mesh/quota"
 )
 
@@ -35,8 +36,6 @@
 	unansweredPause = 2 * coalesceFor
 	// lowInterval is the shortest time between two reports because tokens have run out while no request waits.
 	lowInterval = 250 * time.Millisecond
-	// settleTime is how long the number of nodes must not have grown before a process that has not heard it uses it.
-	settleTime = 2 * time.Second
 	// avoidFor is how long a node that has said that it stops is not an owner; a restart takes some seconds.
 	avoidFor = 10 * time.Second
 	// changeSpread is the time over which the nodes change to an owner that has come back. The former one goes on
@@ -57,12 +56,10 @@
 	accounts    atomic.Pointer[directory]
 	mutex       sync.Mutex // guards changes of accounts
 	loans       [quota.Shards]loan
+	startedAt   time.Duration
 	avoided     map[string]time.Duration // addresses of nodes that stop, until when
 
-	members int // the largest number of nodes that this process has seen at one time
-	current int // the number that it knows or tries to reach
-	heard   int // the largest number that settled nodes have told
-	grownAt time.Duration
+	members *membercounter.Counter
 	expired uint64
 }
 
@@ -123,9 +120,14 @@
 // New returns the spender of a process on the node with address self; incarnation grows with each start.
 func New(b quota.Bounds, self string, incarnation uint64, now time.Duration) *Spender {
 	s := &Spender{
-		bounds: b, terms: b.Terms(), incarnation: incarnation, self: self, avoided: map[string]time.Duration{}, grownAt: now,
+		bounds: b, terms: b.Terms(), startedAt: now, incarnation: incarnation, self: self, avoided: map[string]time.Duration{},
+		members: membercounter.New(now),
 	}
 	s.accounts.Store(newDirectory(nil))
+	for i := range s.loans {
+		// The former process of this node may have lent its share just before its end.
+		s.loans[i].freeAt = now + s.terms.Share
+	}
 	return s
 }
 
@@ -171,21 +173,19 @@
 	s.accounts.Store(newDirectory(as))
 }
 
-// SetNodes sets the other nodes that are alive, the largest number of nodes known at one time, and the number of nodes
-// that this one knows or tries to reach. It returns the shards whose owner changes.
-func (s *Spender) SetNodes(alive []string, peak, addresses int, now time.Duration) []Change {
-	if n := max(peak, addresses); n > max(s.members, s.current) {
-		s.grownAt = now
-	}
-	if peak == 1 {
-		// A node that has reached none of the others does not take their shares when it stops trying.
-		addresses = max(addresses, s.current)
-	}
-	s.members, s.current = max(s.members, peak), addresses
+// Members returns the counter of the nodes among which limits are divided.
+func (s *Spender) Members() *membercounter.Counter { return s.members }
+
+// SetNodes sets the other nodes that are alive and returns the shards whose owner changes.
+func (s *Spender) SetNodes(alive []string, now time.Duration) []Change {
 	maps.DeleteFunc(s.avoided, func(_ string, until time.Duration) bool { return until <= now })
+	together := now < s.startedAt+s.terms.Share && s.members.StartedTogether()
 	var changes []Change
 	for i := range s.loans {
 		l := &s.loans[i]
+		if together && !l.lent && l.freeAt == s.startedAt+s.terms.Share {
+			l.freeAt = now
+		}
 		best := s.chooseOwner(uint8(i), alive)
 		if best == l.owner.address {
 			l.next, l.withdrawn, l.withdrawal = "", false, 0
@@ -243,28 +243,6 @@
 	l.reported, l.dueAt = false, now
 }
 
-// nodeCount returns the number of nodes among which limits are divided, or 0 if it is not known.
-func (s *Spender) nodeCount(now time.Duration) int {
-	if s.heard == 0 && now-s.grownAt < settleTime {
-		return 0
-	}
-	return max(s.heard, s.members, s.current, 1)
-}
-
-// known returns the number of nodes to tell others, without those that this node only tries to reach.
-func (s *Spender) known(now time.Duration) uint32 {
-	if s.nodeCount(now) == 0 {
-		return 0
-	}
-	return uint32(max(s.heard, s.members))
-}
-
-// Hear takes the number of nodes that another node has told.
-func (s *Spender) Hear(nodeCount uint32) { s.heard = max(s.heard, int(nodeCount)) }
-
-// NodeCount returns the number of nodes to tell others, or 0 if it is not known.
-func (s *Spender) NodeCount(now time.Duration) uint32 { return s.known(now) }
-
 // Due returns the reports that are due.
 func (s *Spender) Due(now time.Duration) []Outgoing {
 	as := s.accounts.Load()
@@ -325,7 +303,7 @@
 	l := &s.loans[n]
 	r := &quota.Report{
 		Shard: n, Incarnation: s.incarnation, Stamp: s.stamp(now), OwnerIncarnation: l.owner.incarnation, Echo: l.echo,
-		NodeCount: s.known(now),
+		NodeCount: uint32(s.members.Known(now)),
 	}
 	for _, a := range as {
 		if need, needed := s.need(a, l, now); needed {
@@ -335,7 +313,7 @@
 	l.dueAt = now + s.terms.Interval
 	if l.withdrawn {
 		l.withdrawal = cmp.Or(l.withdrawal, r.Stamp)
-	} else if count := s.nodeCount(now); count > 0 && l.echo > 0 && now >= l.freeAt {
+	} else if count := s.members.Count(now); count > 0 && l.echo > 0 && now >= l.freeAt {
 		r.Lent = uint32(count)
 		l.lent, l.lentAt = true, now
 	}
@@ -373,7 +351,7 @@
 // and a reserve if the stock is large enough for one at each node.
 func (s *Spender) stockpile(a *Account, now time.Duration) int {
 	expected := a.rate * (s.terms.Interval + roundTrip).Seconds()
-	if reservedPart*s.bounds.Stock(*a.limit.Load()) < float64(reserve*s.nodeCount(now)) {
+	if reservedPart*s.bounds.Stock(*a.limit.Load()) < float64(reserve*s.members.Count(now)) {
 		return int(expected)
 	}
 	return int(math.Ceil(expected)) + reserve
@@ -407,7 +385,7 @@
 		g.Incarnation == l.owner.incarnation && g.Stamp <= l.echo {
 		return 0
 	}
-	s.Hear(g.NodeCount)
+	s.members.Hear(int(g.NodeCount), now)
 	if g.Incarnation > l.owner.incarnation {
 		if l.lent {
 			// The process that used the share has ended.
