objects, soak/keeper: a restore of the store from an older copy

Cause: no stand-in store could show what a restored store does, so that nothing about it could be tested. Changes since are lost, revisions go back and are given out again, Store-Era rises by one and is read not later than the content of a response, and a watch from a revision that the store does not have, open ones among them, gets 410. The header is missing in objects before the first restore, as until now.

--- a/objects/keeper/keeper.go
+++ b/objects/keeper/keeper.go
@@ -28,6 +28,8 @@
 	HistoryBytes int `help:"Bytes of values kept in the history." default:"67108864" env:"WISTERIASPOKE_OBJECTS_HISTORY_BYTES"`
 
 	mu          sync.Mutex
+	era         uint64 // number of restores
+	saved       savedState
 	revision    uint64 // of the last write
 	objects     map[string]map[string]object.Object
 	history     []Change      // ascending by revision, without gaps
--- a/objects/keeper/keeper_test.go
+++ b/objects/keeper/keeper_test.go
@@ -166,3 +166,31 @@
 		t.Fatalf("got %v, want a fault of kind %q", err, kind)
 	}
 }
+
+// TestRestoreEndsWatches guards against a watch that goes on over a restore and skips changes with revisions that it has
+// seen before.
+func TestRestoreEndsWatches(t *testing.T) {
+	k := &Keeper{History: 8, HistoryBytes: MaxSpecSize}
+	write := func(name string) {
+		t.Helper()
+		if _, err := k.Create(object.New("heads", name, "", nil)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("kept")
+	k.Save()
+	write("lost")
+	w, err := k.Watch("heads", "", "2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.Restore()
+	write("new")
+	write("newer")
+	if _, err := w.Next(t.Context()); fault.KindOf(err) != fault.Gone {
+		t.Errorf("a watch from before the restore returns %v, want a fault of kind Gone", err)
+	}
+	if objects, revision := k.List("heads"); len(objects) != 3 || revision != "3" {
+		t.Errorf("after the restore and two writes the store has %v at %s", objects, revision)
+	}
+}
--- a/objects/keeper/watch.go
+++ b/objects/keeper/watch.go
@@ -16,6 +16,7 @@
 type Watch struct {
 	keeper       *Keeper
 	plural, name string
+	era          uint64   // of lastSeen
 	lastSeen     uint64   // revision of the last change read from the history
 	initial      []Change // objects that existed at the start of a watch without a revision
 }
@@ -27,7 +28,7 @@
 func (k *Keeper) Watch(plural, name, revision string) (*Watch, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	w := &Watch{keeper: k, plural: plural, name: name, lastSeen: k.revision}
+	w := &Watch{keeper: k, plural: plural, name: name, era: k.era, lastSeen: k.revision}
 	if revision == "" || revision == "0" {
 		for _, o := range k.sortedObjects(plural, name) {
 			w.initial = append(w.initial, Change{changeType: event.Added, object: o})
@@ -88,8 +89,11 @@
 	return Change{}, k.nextWrite, nil
 }
 
-// checkHistory returns a fault if changes after lastSeen are no longer in the history; the caller holds the lock.
+// checkHistory returns a fault if changes after lastSeen are not in the history; the caller holds the lock.
 func (w *Watch) checkHistory() error {
+	if w.era != w.keeper.era {
+		return fault.New(fault.Gone, "the store was restored from an older copy", "list again and watch from the list's version")
+	}
 	lastDropped := w.keeper.revision - uint64(len(w.keeper.history))
 	if w.lastSeen >= lastDropped {
 		return nil
--- a/objects/server/handler.go
+++ b/objects/server/handler.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,6 +20,9 @@
 // maxBodySize is the limit of a request's body in bytes; it leaves room for metadata beside an object's value.
 const maxBodySize = keeper.MaxSpecSize + 4096
 
+// eraHeader is the response header that counts the restores of the store.
+const eraHeader = "Store-Era"
+
 // routes returns the handlers of the API and of the endpoints for tests.
 func (s *Server) routes() http.Handler {
 	const prefix = "/apis/" + apiVersion + "/{plural}"
@@ -26,6 +30,8 @@
 	m.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") })
 	m.HandleFunc("GET /counts", s.requireToken(s.counts))
 	m.HandleFunc("PUT /faults", s.requireToken(s.setFaults))
+	m.HandleFunc("POST /save", s.requireToken(func(http.ResponseWriter, *http.Request) { s.storage.Save() }))
+	m.HandleFunc("POST /restore", s.requireToken(func(http.ResponseWriter, *http.Request) { s.storage.Restore() }))
 	m.HandleFunc("GET "+prefix, s.requireToken(s.listOrWatch))
 	m.HandleFunc("GET "+prefix+"/{name}", s.read(meter.Get, s.get))
 	m.HandleFunc("POST "+prefix, s.write(meter.Create, s.create))
@@ -34,7 +40,18 @@
 	m.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeFailure(w, http.StatusNotFound, "NotFound", "no resource at "+r.Method+" "+r.URL.Path)
 	})
-	return m
+	return s.withEra(m)
+}
+
+// withEra sets the era in all responses of a store that was restored. It is read before the content: content of an older
+// era must not bear a newer one.
+func (s *Server) withEra(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if era := s.storage.Era(); era > 0 {
+			w.Header().Set(eraHeader, strconv.FormatUint(era, 10))
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // requireToken rejects calls without the configured bearer token.
--- a/objects/server/server.go
+++ b/objects/server/server.go
@@ -40,6 +40,11 @@
 	Delete(o object.Object) (object.Object, error)
 	// Watch returns a fault of kind Gone if changes after the revision are not available.
 	Watch(plural, name, revision string) (*keeper.Watch, error)
+	// Save keeps the state that Restore goes back to.
+	Save()
+	Restore()
+	// Era returns the number of restores.
+	Era() uint64
 }
 
 // limiter decides which calls are within the rates.
--- a/objects/server/server_test.go
+++ b/objects/server/server_test.go
@@ -94,7 +94,11 @@
 		return fmt.Sprintf("> %s\nno answer\n", head)
 	}
 	defer r.Body.Close()
-	return fmt.Sprintf("> %s\n%d\n%s", head, r.StatusCode, readBody(t, r.Body, lines))
+	era := ""
+	if n := r.Header.Get(eraHeader); n != "" {
+		era = ", era " + n
+	}
+	return fmt.Sprintf("> %s\n%d%s\n%s", head, r.StatusCode, era, readBody(t, r.Body, lines))
 }
 
 // readBody returns the whole body, or only its first lines unless lines is zero.
