--- a/mesh/record/record.go
+++ b/mesh/record/record.go
@@ -14,7 +14,7 @@
 type Record struct {
 	Kind     Kind   `cbor:"1,keyasint"`
 	Name     string `cbor:"2,keyasint"`
-	Revision uint64 `cbor:"3,keyasint"`           // of the last change; totally ordered in the store
+	Revision uint64 `cbor:"3,keyasint"`           // position of the last change, see Position
 	Created  uint64 `cbor:"4,keyasint"`           // revision at which the object was created
 	Spec     []byte `cbor:"5,keyasint,omitempty"` // in the store's encoding
 	Status   []byte `cbor:"6,keyasint,omitempty"` // in the store's encoding
