gossiper: configurations are ordered by their own version

Cause: a node took whatever record had the highest revision as the one to pass on. A restored store shows an older version at a higher position: the nodes kept the newer one in force, but stored and passed on the older, so that a node that started then stayed with it. A configuration that could not be decoded replaced the good one in the same way. Change: a configuration is stored and forwarded only if it can be decoded and its version is higher. Statuses, pulls and confirmations name versions in place of revisions, in the same fields. Other content under the version in force, which a store can show that lost that version, replaces it at a higher position. Orders are ordered by position as before.

--- a/mesh/gossiper/archive.go
+++ b/mesh/gossiper/archive.go
@@ -18,17 +18,37 @@
 	name string
 }
 
-// recordSet holds the newest revision of each record; specifications stay compressed, as they are sent.
+// recordSet holds the newest of each record; specifications stay compressed, as they are sent. Orders are ordered by their
+// positions in the store, configurations by their own versions, which a store that was restored does not give out again.
 type recordSet struct {
 	byKey   map[recordKey]record.Record
-	highest map[record.Kind]uint64 // highest revision of each kind
+	highest map[record.Kind]uint64 // highest position of the orders and version of the configuration
 }
 
 func newRecordSet() *recordSet {
 	return &recordSet{byKey: map[recordKey]record.Record{}, highest: map[record.Kind]uint64{}}
 }
 
-// put stores the record if it is newer than the stored one, and reports whether it did.
+// putConfiguration stores a configuration of the version, whatever is stored.
+func (a *recordSet) putConfiguration(r record.Record, version uint64) {
+	a.byKey[recordKey{r.Kind, ""}] = r
+	a.highest[r.Kind] = version
+}
+
+// configuration returns the stored configuration, or a record without content.
+func (a *recordSet) configuration() record.Record {
+	return a.byKey[recordKey{record.Configuration, ""}]
+}
+
+// newerConfiguration returns the configuration if it has a higher version.
+func (a *recordSet) newerConfiguration(version uint64) []record.Record {
+	if a.highest[record.Configuration] <= version {
+		return nil
+	}
+	return []record.Record{a.configuration()}
+}
+
+// put stores the record if it is newer than the stored one, and reports whether it did. It is not for configurations.
 func (a *recordSet) put(r record.Record) bool {
 	k := recordKey{r.Kind, r.Name}
 	if old, known := a.byKey[k]; known && r.Revision <= old.Revision {
@@ -39,11 +59,11 @@
 	return true
 }
 
-// newerThan returns the records of the kind with a higher revision, in ascending order.
-func (a *recordSet) newerThan(kind record.Kind, revision uint64) []record.Record {
+// newerThan returns the records of the kind with a higher position, in ascending order.
+func (a *recordSet) newerThan(kind record.Kind, position uint64) []record.Record {
 	var rs []record.Record
 	for k, r := range a.byKey {
-		if k.kind == kind && r.Revision > revision {
+		if k.kind == kind && r.Revision > position {
 			rs = append(rs, r)
 		}
 	}
--- a/mesh/gossiper/deliveries.go
+++ b/mesh/gossiper/deliveries.go
@@ -23,7 +23,7 @@
 	nodesAsked = 2
 )
 
-// revisions are the highest revisions of the two kinds of records.
+// revisions are the version of the configuration and the highest position of the orders.
 type revisions struct {
 	_             struct{} `cbor:",toarray"`
 	Configuration uint64
@@ -107,7 +107,7 @@
 	g.sender.Send(p.address, message.New(kindRevisions, &r))
 }
 
-// revisions returns the highest revisions that the peer is known to have.
+// revisions returns what the peer is known to have.
 func (p *peer) revisions() revisions {
 	r := p.confirmed
 	if p.status != nil {
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -40,8 +40,8 @@
 	StoreReachable        bool               // whether the node reaches the store
 	StoreLatency          int64              // milliseconds, of the store's fastest response
 	Leaving               bool               // whether the node is stopping
-	ConfigurationRevision uint64             // of the configuration that the node has
-	OrdersRevision        uint64             // highest among the orders that the node has
+	ConfigurationRevision uint64             // version of the configuration that the node has, or 0
+	OrdersRevision        uint64             // highest position among the orders that the node has
 	Outstanding           int                // calls in progress at the upstream
 	ServiceTimeRatio      int64              // the upstream's service time relative to the expected one, per mille
 	Endpoint              *endpoint.Endpoint // nil before the upstream announces itself
@@ -89,7 +89,7 @@
 	ServiceTimeRatio int64
 }
 
-// pullRequest asks for the records with higher revisions.
+// pullRequest asks for a configuration of a higher version and for orders at higher positions.
 type pullRequest struct {
 	_                     struct{} `cbor:",toarray"`
 	ConfigurationRevision uint64
--- a/mesh/gossiper/records.go
+++ b/mesh/gossiper/records.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"bytes"
+
 	"wisteriaspoke.example/mesh/message"
 	"wisteriaspoke.example/mesh/order"
 	"wisteriaspoke.example/mesh/plan"
@@ -28,20 +30,23 @@
 func (g *Gossiper) applyNewer(rs []record.Record) []record.Record {
 	var newer []record.Record
 	for _, r := range rs {
-		if !g.records.put(r) {
+		if r.Kind == record.Configuration {
+			if g.applyConfiguration(r) {
+				newer = append(newer, r)
+			}
 			continue
 		}
-		newer = append(newer, r)
-		g.applyRecord(r)
+		if g.records.put(r) {
+			newer = append(newer, r)
+			g.applyRecord(r)
+		}
 	}
 	return newer
 }
 
-// applyRecord makes a configuration or an order effective on this node.
+// applyRecord makes an order effective on this node.
 func (g *Gossiper) applyRecord(r record.Record) {
 	switch r.Kind {
-	case record.Configuration:
-		g.applyConfiguration(r)
 	case record.Orders:
 		o, err := g.decoder.Order(r)
 		if err != nil {
@@ -66,10 +71,13 @@
 	}
 }
 
-func (g *Gossiper) applyConfiguration(r record.Record) {
+// applyConfiguration stores a configuration and puts it in force if its version is higher than that of the present one, and
+// reports whether it did. A store that was restored may also show other content under the same version; that at the higher
+// position is kept, so that all nodes agree.
+func (g *Gossiper) applyConfiguration(r record.Record) bool {
 	if r.Deleted {
-		g.log.Error("configuration was deleted in the store; the last one stays in force", "revision", r.Revision)
-		return
+		g.log.Error("configuration was deleted in the store; the last one stays in force", "position", r.Revision)
+		return false
 	}
 	spec, err := decompress(r.Spec)
 	var p *plan.Plan
@@ -77,16 +85,28 @@
 		p, err = g.decoder.Plan(spec)
 	}
 	if err != nil {
-		g.log.Error("configuration refused", "revision", r.Revision, "error", err)
-		return
+		g.log.Error("configuration refused", "position", r.Revision, "error", err)
+		return false
 	}
 	if g.plan != nil && p.Version() <= g.plan.Version() {
-		g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "revision", r.Revision)
-		return
+		stored := g.records.configuration()
+		same := p.Version() == g.plan.Version()
+		if same && bytes.Equal(r.Spec, stored.Spec) {
+			stored.Revision = max(stored.Revision, r.Revision)
+			g.records.putConfiguration(stored, p.Version())
+			return false
+		}
+		if !same || r.Revision <= stored.Revision {
+			g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "position", r.Revision)
+			return false
+		}
+		g.log.Warn("configuration has other content under the same version", "version", p.Version(), "position", r.Revision)
 	}
+	g.records.putConfiguration(r, p.Version())
 	g.plan, g.planSince, g.viewStale = p, g.now(), true
 	planVersion.Update(int64(p.Version()))
-	g.log.Info("configuration in force", "version", p.Version(), "revision", r.Revision, "rules", p.RuleCount())
+	g.log.Info("configuration in force", "version", p.Version(), "position", r.Revision, "rules", p.RuleCount())
+	return true
 }
 
 // forwardRecords sends records that came from the store or from another region to the peers of this region, and those
@@ -112,7 +132,7 @@
 	}
 }
 
-// hasNewerRecords reports whether the peer is linked and has higher revisions than this node.
+// hasNewerRecords reports whether the peer is linked and has a newer configuration or newer orders than this node.
 func (g *Gossiper) hasNewerRecords(p *peer) bool {
 	return p.linked && p.status != nil && !g.ownRevisions().covers(p.revisions())
 }
@@ -155,7 +175,7 @@
 
 // sendMissing answers a pull request with the records that the peer lacks.
 func (g *Gossiper) sendMissing(p *peer, q *pullRequest) {
-	missing := g.records.newerThan(record.Configuration, q.ConfigurationRevision)
+	missing := g.records.newerConfiguration(q.ConfigurationRevision)
 	missing = append(missing, g.records.newerThan(record.Orders, q.OrdersRevision)...)
 	if len(missing) > 0 {
 		g.sender.Send(p.address, message.New(kindRecords, &records{Records: missing}))
