mover: moves that have ended stay so when a restored store says otherwise

Cause: the state of an order in the store decided. After a restore that lost it, a completed move began again and took the calls from the new version, a version that was found bad was tried again, and a state that was written shortly before the restore was not written again. Change: each node keeps the last outcomes of each service and settles a restored order (same service, target and creation, a newer era) by them. The leader broadcasts the outcome and writes the state. A leader that has started since does not know it: with an order of an era above 0 it waits a second before the new version gets calls, and nodes that know the outcome reply to its stage (a few at first, twice as many each second). The state of a move is written again in a new era. A write that the store refuses, as it no longer has the order, is repeated only after the order has changed. TestLostOrder for the repeated writes.

--- a/mesh/mover/messages.go
+++ b/mesh/mover/messages.go
@@ -9,11 +9,13 @@
 const (
 	kindEvidence = "move.evidence"
 	kindStage    = "move.stage"
+	kindOutcome  = "move.outcome"
 )
 
 func init() {
 	encoder.Register(kindEvidence, func() any { return new(evidence) })
 	encoder.Register(kindStage, func() any { return new(stage) })
+	encoder.Register(kindOutcome, func() any { return new(outcomeNotice) })
 }
 
 // evidence holds the outcomes that one node has counted since the start of a move.
@@ -33,3 +35,10 @@
 	StartDelay int64  // value of Elapsed, in milliseconds, when the new version got its first calls
 	BadReason  string // why the version is bad, or the empty string
 }
+
+// outcomeNotice says how a move ended that a restored store shows as running.
+type outcomeNotice struct {
+	_     struct{} `cbor:",toarray"`
+	Order string
+	State string
+}
--- a/mesh/mover/mover.go
+++ b/mesh/mover/mover.go
@@ -23,6 +23,7 @@
 	kernel.Register("mover", 42, func() kernel.Part {
 		m := &Mover{
 			now: time.Now, inputs: make(chan any, inputQueueSize), moves: map[string]*move{}, badVersions: map[string][]string{},
+			outcomes: map[string][]moveOutcome{},
 		}
 		m.splits.Store(&map[string]composer.Split{})
 		m.counters.Store(&map[string]*observedMove{})
@@ -93,12 +94,15 @@
 	shareChangedAt time.Time
 	badReason      string // empty until the version is found bad
 	done           bool
+	settled        bool // it has ended before the store was restored
+	stagesAfterEnd int  // stages that other nodes have sent of a settled move
 	counter        *counter
 	evidence       map[string]*evidence // by node
 	sentCalls      uint64               // calls in the evidence that was last sent
 	stageSentAt    time.Time
 	writtenState   order.State // last state written by this node
 	writing        bool        // a write of the state is in progress
+	refused        bool        // the store has another revision of the order, so that its state is not written
 }
 
 // Mover moves services to new versions. One goroutine owns its state; calls read the maps that it publishes.
@@ -116,9 +120,10 @@
 	counters     atomic.Pointer[map[string]*observedMove] // by service
 
 	// Only the goroutine of run uses the fields below.
-	moves       map[string]*move    // by service
-	orders      []order.Order       // last known
-	badVersions map[string][]string // by service
+	moves       map[string]*move         // by service
+	orders      []order.Order            // last known
+	badVersions map[string][]string      // by service
+	outcomes    map[string][]moveOutcome // by service, the oldest first
 }
 
 // peerMessage is a message from the node at address peer.
@@ -132,7 +137,7 @@
 
 // writeResult is the result of writing one state.
 type writeResult struct {
-	id    string
+	order order.Order
 	state order.State
 	err   error
 }
@@ -164,7 +169,7 @@
 
 // Handle queues messages of moves and reports whether n is one.
 func (m *Mover) Handle(peer string, n message.Message) bool {
-	if n.Kind() != kindEvidence && n.Kind() != kindStage {
+	if n.Kind() != kindEvidence && n.Kind() != kindStage && n.Kind() != kindOutcome {
 		return false
 	}
 	m.enqueue(peerMessage{peer, n})
@@ -239,7 +244,9 @@
 				m.evaluate(mv)
 			}
 		case *stage:
-			m.applyStage(b)
+			m.applyStage(in.peer, b)
+		case *outcomeNotice:
+			m.applyOutcome(in.peer, b)
 		}
 	}
 }
@@ -258,20 +265,26 @@
 	m.orders = os
 	for _, o := range os {
 		mv := m.moves[o.Service()]
+		settled := m.settledState(o)
 		switch {
 		case o.State() == order.TakenBack:
 			m.excludeVersion(o.Service(), o.Target())
+			m.rememberOutcome(o)
 			delete(m.moves, o.Service())
 		case o.State() == order.Completed:
+			m.rememberOutcome(o)
 			delete(m.moves, o.Service())
 		case mv != nil && mv.order.ID() == o.ID():
-			mv.order = o
+			mv.orderChanged(o)
 		default:
 			now := m.now()
-			m.moves[o.Service()] = &move{
-				order: o, orderKnownAt: now, shareChangedAt: now, counter: &counter{}, evidence: map[string]*evidence{},
+			mv = &move{order: o, orderKnownAt: now, shareChangedAt: now, counter: &counter{}, evidence: map[string]*evidence{}}
+			m.moves[o.Service()] = mv
+			if settled == order.Running {
+				m.log.Info("move begins", "order", o.ID(), "period", o.Period())
+			} else {
+				m.settle(mv, settled, "this node")
 			}
-			m.log.Info("move begins", "order", o.ID(), "period", o.Period())
 		}
 	}
 	m.publish()
@@ -284,11 +297,15 @@
 }
 
 // applyStage adopts a stage that another node has sent.
-func (m *Mover) applyStage(s *stage) {
+func (m *Mover) applyStage(peer string, s *stage) {
 	mv := m.findMove(s.Order)
 	if mv == nil {
 		return
 	}
+	if mv.settled {
+		m.replyOutcome(mv, peer)
+		return
+	}
 	if s.BadReason != "" && mv.badReason == "" {
 		m.rejectVersion(mv, s.BadReason, "another node")
 	}
@@ -306,7 +323,7 @@
 // evaluate rejects the new version if the counts of all nodes show that it is bad. Only the nodes that get the evidence
 // judge: the counts of one node alone say little.
 func (m *Mover) evaluate(mv *move) {
-	if mv.badReason != "" || !m.evaluates() {
+	if mv.badReason != "" || mv.settled || !m.evaluates() {
 		return
 	}
 	cells, _ := mv.counter.snapshot()
@@ -344,7 +361,7 @@
 		s := splits[o.Service()]
 		mv := m.moves[o.Service()]
 		switch {
-		case o.State() == order.Completed:
+		case o.State() == order.Completed, mv != nil && mv.settled && mv.done:
 			s.OnlyVersion = o.Target()
 		case mv != nil && mv.badReason == "":
 			s.Candidate, s.Permille = o.Target(), mv.permille
--- a/mesh/mover/mover_test.go
+++ b/mesh/mover/mover_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -31,6 +32,8 @@
 	trace       []string
 	nodes       []*node
 	storeOut    bool // the store does not answer
+	unread      bool // nodes do not read what is written
+	writes      int  // calls to the store
 	dead        map[string]bool
 	order       order.Fields
 	lastRouting map[string]string // last traced routing of each node
@@ -51,6 +54,13 @@
 	cancel  context.CancelFunc
 }
 
+// all returns the present nodes.
+func (m *mesh) all() []*node {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return slices.Clone(m.nodes)
+}
+
 func (n *node) alive(address string) bool {
 	n.mesh.mutex.Lock()
 	defer n.mesh.mutex.Unlock()
@@ -58,7 +68,7 @@
 }
 
 func (n *node) Broadcast(m message.Message) {
-	for _, o := range n.mesh.nodes {
+	for _, o := range n.mesh.all() {
 		if o != n {
 			n.Send(o.address, m)
 		}
@@ -66,7 +76,7 @@
 }
 
 func (n *node) Send(peer string, m message.Message) {
-	for _, o := range n.mesh.nodes {
+	for _, o := range n.mesh.all() {
 		if o.address == peer && n.alive(peer) && n.alive(n.address) {
 			o.Handle(n.address, m)
 		}
@@ -83,7 +93,7 @@
 
 func (n *node) Nodes() []elector.Candidate {
 	var cs []elector.Candidate
-	for _, o := range n.mesh.nodes {
+	for _, o := range n.mesh.all() {
 		if o != n {
 			cs = append(cs, elector.Candidate{Address: o.address, StoreReachable: true, Alive: n.alive(o.address)})
 		}
@@ -99,20 +109,24 @@
 func (n *node) WriteOrderState(_ context.Context, o order.Order, s order.State) error {
 	m := n.mesh
 	m.mutex.Lock()
+	m.writes++
 	switch {
 	case m.storeOut:
 		m.mutex.Unlock()
 		return fault.New(fault.Unavailable, "no answer", "")
-	case m.order.Revision != o.Revision():
+	case m.order.Revision != o.Revision() && !m.unread:
 		m.mutex.Unlock()
 		return fault.New(fault.Conflict, "another revision", "")
 	}
 	m.order.Revision++
 	m.order.State = s
-	changed := order.New(m.order)
+	changed, unread := order.New(m.order), m.unread
 	m.mutex.Unlock()
 	m.tracef("%s writes %q", n.address, s)
-	for _, x := range m.nodes {
+	if unread {
+		return nil
+	}
+	for _, x := range m.all() {
 		x.SetOrders([]order.Order{changed})
 	}
 	return nil
@@ -121,24 +135,33 @@
 func (m *mesh) start(addresses ...string) {
 	m.startedAt, m.dead, m.lastRouting = time.Now(), map[string]bool{}, map[string]string{}
 	for _, a := range addresses {
-		n := &node{mesh: m, address: a, end: make(chan error, 1)}
-		n.Mover = &Mover{
-			now: time.Now, log: slog.New(slog.DiscardHandler), cluster: n, peerSender: n, stateWriter: n, inputs: make(chan any, inputQueueSize),
-			writeResults: make(chan writeResult, 16), moves: map[string]*move{}, badVersions: map[string][]string{}, config: machine.Config{Node: a},
-		}
-		n.splits.Store(&map[string]composer.Split{})
-		n.counters.Store(&map[string]*observedMove{})
-		m.nodes = append(m.nodes, n)
+		m.nodes = append(m.nodes, m.newNode(a))
 	}
 	for _, n := range m.nodes {
-		ctx, cancel := context.WithCancel(context.Background())
-		n.cancel = cancel
-		go func() { n.end <- n.run(ctx) }()
+		n.begin()
 		// The offset keeps the ticks of nodes and the traffic at different instants; otherwise their order would vary.
 		time.Sleep(3 * time.Millisecond)
 	}
 }
 
+func (m *mesh) newNode(a string) *node {
+	n := &node{mesh: m, address: a, end: make(chan error, 1)}
+	n.Mover = &Mover{
+		now: time.Now, log: slog.New(slog.DiscardHandler), cluster: n, peerSender: n, stateWriter: n, inputs: make(chan any, inputQueueSize),
+		writeResults: make(chan writeResult, 16), moves: map[string]*move{}, badVersions: map[string][]string{}, outcomes: map[string][]moveOutcome{},
+		config: machine.Config{Node: a},
+	}
+	n.splits.Store(&map[string]composer.Split{})
+	n.counters.Store(&map[string]*observedMove{})
+	return n
+}
+
+func (n *node) begin() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() { n.end <- n.run(ctx) }()
+}
+
 // calls simulates traffic on all living nodes until the given time; failureRatio is that of the new version's calls.
 func (m *mesh) calls(until time.Duration, failureRatio float64) {
 	i := 0
--- a/mesh/mover/steps.go
+++ b/mesh/mover/steps.go
@@ -9,6 +9,7 @@
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/message"
 	"wisteriaspoke.example/mesh/order"
+	"wisteriaspoke.example/mesh/record"
 )
 
 // advanceMove sends evidence and, on the leader, advances the move. It returns the number of writes that it started.
@@ -19,7 +20,7 @@
 		return 0
 	}
 	now := m.now()
-	if mv.badReason == "" && !mv.done {
+	if mv.badReason == "" && !mv.done && !mv.awaitsOutcome(now) {
 		m.advanceShare(mv, now)
 	}
 	if now.Sub(mv.stageSentAt) >= stageResendInterval {
@@ -66,6 +67,10 @@
 func (m *Mover) broadcastStage(mv *move) {
 	now := m.now()
 	mv.stageSentAt = now
+	if mv.settled {
+		m.cluster.Broadcast(outcomeMessage(mv))
+		return
+	}
 	m.cluster.Broadcast(message.New(kindStage, &stage{
 		Order: mv.order.ID(), Permille: mv.permille, Elapsed: now.Sub(mv.orderKnownAt).Milliseconds(),
 		StartDelay: mv.startDelay.Milliseconds(), BadReason: mv.badReason,
@@ -74,14 +79,11 @@
 
 // writeState starts to write the move's state if it has changed, and returns the number of writes that it started.
 func (m *Mover) writeState(ctx context.Context, mv *move) int {
-	state := order.Running
-	switch {
-	case mv.badReason != "":
-		state = order.TakenBack
-	case mv.done:
-		state = order.Completed
+	state := mv.outcome()
+	if state == order.Running && mv.awaitsOutcome(m.now()) {
+		return 0
 	}
-	if mv.writing || mv.writtenState == state {
+	if mv.writing || mv.refused || mv.writtenState == state {
 		return 0
 	}
 	mv.writing = true
@@ -89,23 +91,27 @@
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, stateWriteTimeout)
 		defer cancel()
-		m.writeResults <- writeResult{id: o.ID(), state: state, err: m.stateWriter.WriteOrderState(limited, o, state)}
+		m.writeResults <- writeResult{order: o, state: state, err: m.stateWriter.WriteOrderState(limited, o, state)}
 	}()
 	return 1
 }
 
 func (m *Mover) handleWriteResult(r writeResult) {
-	mv := m.findMove(r.id)
+	mv := m.findMove(r.order.ID())
 	if r.err != nil {
-		m.log.Warn("state of a move not written", "order", r.id, "state", r.state, "kind", fault.KindOf(r.err), "error", r.err)
+		m.log.Warn("state of a move not written", "order", r.order.ID(), "state", r.state, "kind", fault.KindOf(r.err), "error", r.err)
 	} else {
-		m.log.Info("state of a move written", "order", r.id, "state", r.state)
+		m.log.Info("state of a move written", "order", r.order.ID(), "state", r.state)
 	}
 	if mv == nil {
 		return
 	}
 	mv.writing = false
-	if r.err == nil {
+	if k := fault.KindOf(r.err); r.err != nil && (k == fault.Conflict || k == fault.NotFound) && r.order.Revision() == mv.order.Revision() {
+		// The store no longer has this order.
+		mv.refused = true
+	}
+	if r.err == nil && record.Era(r.order.Revision()) == record.Era(mv.order.Revision()) {
 		mv.writtenState = r.state
 	}
 }
