--- a/mesh/gossiper/records.go
+++ b/mesh/gossiper/records.go
@@ -16,7 +16,7 @@
 		if r.Kind == record.Configuration {
 			spec, err := compress(r.Spec)
 			if err != nil {
-				g.log.Error("configuration cannot be compressed", "revision", r.Revision, "error", err)
+				g.log.Error("configuration cannot be compressed", "revision", record.RevisionIn(r.Revision), "error", err)
 				continue
 			}
 			r.Spec = spec
@@ -50,7 +50,7 @@
 	case record.Orders:
 		o, err := g.decoder.Order(r)
 		if err != nil {
-			g.log.Error("order ignored", "service", r.Name, "revision", r.Revision, "error", err)
+			g.log.Error("order ignored", "service", r.Name, "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "error", err)
 			return
 		}
 		if r.Deleted {
@@ -58,8 +58,8 @@
 		} else {
 			g.orders[r.Name] = o
 		}
-		g.log.Info("order known", "service", r.Name, "target", o.Target(), "state", o.State(), "revision", r.Revision,
-			"deleted", r.Deleted)
+		g.log.Info("order known", "service", r.Name, "target", o.Target(), "state", o.State(),
+			"revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "deleted", r.Deleted)
 		g.viewStale = true
 		all := make([]order.Order, 0, len(g.orders))
 		for _, o := range g.orders {
@@ -76,7 +76,7 @@
 // position is kept, so that all nodes agree.
 func (g *Gossiper) applyConfiguration(r record.Record) bool {
 	if r.Deleted {
-		g.log.Error("configuration was deleted in the store; the last one stays in force", "position", r.Revision)
+		g.log.Error("configuration was deleted in the store; the last one stays in force", "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision))
 		return false
 	}
 	spec, err := decompress(r.Spec)
@@ -85,7 +85,7 @@
 		p, err = g.decoder.Plan(spec)
 	}
 	if err != nil {
-		g.log.Error("configuration refused", "position", r.Revision, "error", err)
+		g.log.Error("configuration refused", "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "error", err)
 		return false
 	}
 	if g.plan != nil && p.Version() <= g.plan.Version() {
@@ -97,15 +97,15 @@
 			return false
 		}
 		if !same || r.Revision <= stored.Revision {
-			g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "position", r.Revision)
+			g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision))
 			return false
 		}
-		g.log.Warn("configuration has other content under the same version", "version", p.Version(), "position", r.Revision)
+		g.log.Warn("configuration has other content under the same version", "version", p.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision))
 	}
 	g.records.putConfiguration(r, p.Version())
 	g.plan, g.planSince, g.viewStale = p, g.now(), true
 	planVersion.Update(int64(p.Version()))
-	g.log.Info("configuration in force", "version", p.Version(), "position", r.Revision, "rules", p.RuleCount())
+	g.log.Info("configuration in force", "version", p.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "rules", p.RuleCount())
 	return true
 }
 
