exchanger: refuse impossible statuses, and read on behind interim responses

A signed response with status 000, 099, 101 or 999 was passed to the caller as complete, and 000 could count as a proof that the request has not run. An interim response (1xx) counted as the response, so that the caller got it, or 502, and the real response was lost. Change: a status outside of 200 to 599 makes a response invalid (502, may have run). Interim responses other than 101 are skipped; all of them together are within the limit of a head.

--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -33,6 +33,9 @@
 	earlyResponseBodyBytes = 4 << 10
 	// maxResponsesRead is the number of responses to other requests after which the connection is abandoned.
 	maxResponsesRead = 4
+	// minStatus and maxStatus bound the status of a response that is not an interim one.
+	minStatus = http.StatusOK
+	maxStatus = 599
 )
 
 // Reasons of answers that are not a response of the upstream.
@@ -248,10 +251,13 @@
 // readResponse returns one response; stray reports that it answers another request.
 func (x *Exchanger) readResponse(conn *connection, c call.Call) (a answer.Answer, reusable, stray bool) {
 	conn.bounds.left = maxOverheadBytes
-	r, err := http.ReadResponse(conn.reader, &http.Request{Method: c.Method()})
+	r, err := readFinalHead(conn, c.Method())
 	if err != nil {
 		return readFailure(err), false, false
 	}
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return invalidResponse(), false, false
+	}
 	body, err := x.readBody(conn, r)
 	if err != nil {
 		return readFailure(err), false, false
@@ -291,6 +297,16 @@
 	return answer.New(answer.Fields{Status: r.StatusCode, Headers: endToEndHeaders(r.Header), Body: body, Ran: answer.Yes}), reusable, false
 }
 
+// readFinalHead reads the head of a response behind those of any interim ones.
+func readFinalHead(conn *connection, method string) (*http.Response, error) {
+	for {
+		r, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		if err != nil || r.StatusCode < http.StatusContinue || r.StatusCode >= minStatus || r.StatusCode == http.StatusSwitchingProtocols {
+			return r, err
+		}
+	}
+}
+
 func readFailure(err error) answer.Answer {
 	reason := ReasonConnectionLost
 	var n net.Error
