exchanger: a reset that the write of the request has seen ends a response without a length

Cause: the kernel reports a reset of a connection once. If the write of a long request got it, the read of the response ended as after a clean close, which is also the end of a response without a length: the caller got the part as a complete 200. Change: if the end of the connection ended the response, the write is ended too and its result decides. ECONNRESET and other errors of the system make the response lost (502, may have run). EPIPE means that the upstream closed the connection before it reset it, so the response is complete, as is one of which the upload is still unread. When the node itself closes the connection, the read fails with an error of its own and not with the end of the connection; that was right before.

--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -157,6 +157,7 @@
 	bounds    *boundedReader // of the response that is being read
 	reader    *bufio.Reader  // of bounds
 	refused   bool           // the upstream has refused an earlier request
+	endsBody  bool           // the end of the connection ended the response that was read last
 	sentAt    time.Time      // when the last request was sent
 	expiresAt time.Time      // when the upstream may close it if idle
 	idleSince time.Time      // when it became idle
@@ -210,6 +211,9 @@
 		// The next response may be to this call, but responses on the connection no longer match its requests.
 		defer func() { reusable = false }()
 	}
+	if conn.endsBody && a.Ran() == answer.Yes && conn.resetSeen(written) {
+		a = readFailure(io.ErrUnexpectedEOF)
+	}
 	if len(c.Body()) >= earlyResponseBodyBytes && (a.Ran() != answer.Yes || a.Status() >= http.StatusBadRequest) {
 		reusable = false
 	}
@@ -224,6 +228,18 @@
 	}
 }
 
+// resetSeen reports whether the write of the request has found the connection broken. The kernel reports a reset only once, so
+// that a read after the write ends as if the upstream had closed the connection. The write is ended if it is not yet: the
+// connection has ended. EPIPE means that the upstream closed it before the reset.
+func (c *connection) resetSeen(written chan error) bool {
+	// If this fails, the connection is closed, which ends the write as well.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	err := <-written
+	written <- err
+	var number syscall.Errno
+	return errors.As(err, &number) && number != syscall.EPIPE
+}
+
 func (x *Exchanger) writeRequest(conn *connection, c call.Call, timeLeft time.Duration) error {
 	h := http.Header{}
 	for _, line := range c.Headers() {
@@ -263,6 +279,7 @@
 		return readFailure(err), false, false
 	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	conn.endsBody = !framed
 	reusable = framed && !r.Close && conn.reader.Buffered() == 0
 	conn.expiresAt = time.Now().Add(idleTimeout(r.Header.Get("Keep-Alive")))
 	notRun, wrongInstance := x.Dialect.NotRun(r.StatusCode, r.Header)
