linker: an answer with an impossible status is 502

Cause: an answer from another node is passed on as it is. A node of an earlier release may have taken status 000 or 101 from its upstream, and the caller would get it. Change: an answer that says that the call has run, with a status outside of 200 to 599, becomes 502 (may have run).

--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -62,6 +62,9 @@
 		lateAnswers.Inc(1)
 		return nil
 	}
+	if a.Ran() == answer.Yes && (a.Status() < http.StatusOK || a.Status() > maxStatus) {
+		a = answer.New(answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: reasonStatus, Retried: a.Retried()})
+	}
 	p.(*pendingCall).done <- a
 	return nil
 }
@@ -134,10 +137,14 @@
 	return l.owner.server.Serve(ctx, c)
 }
 
+// maxStatus is the highest status that a response can have.
+const maxStatus = 599
+
 // Reasons for refusals.
 const (
 	reasonBusy     = "busy"     // too many calls of other nodes are running here
 	reasonPanic    = "panic"    // a fault of this program ended the call
+	reasonStatus   = "garbled"  // the answer has a status that no response can have
 	reasonUnsent   = "unsent"   // the answer could not be sent before the deadline
 	reasonBodiless = "bodiless" // the body of an offered call did not arrive in time
 	reasonHeldUp   = "heldup"   // the call or its body was held up on its link, and its caller may have left meanwhile
