objectclient: an impossible status does not prove that a write was refused

Cause: a status below 200 counted as a refusal for which the object must be corrected, although it says nothing on the write. Change: it is treated as a failure behind the API: a write may have been applied, a read is unavailable. Tests: TestImpossibleStatus failed before for 000, 099 and 101; 600 and more were right.

--- a/mesh/objectclient/call.go
+++ b/mesh/objectclient/call.go
@@ -168,11 +168,13 @@
 	case http.StatusServiceUnavailable:
 		return fault.New(fault.Unavailable, what, "try again later")
 	}
-	if code >= http.StatusInternalServerError && write {
+	// A status below 200 is no response to a request.
+	failed := code >= http.StatusInternalServerError || code < http.StatusOK
+	if failed && write {
 		// An error or a timeout behind the API does not show whether the write was applied.
 		return fault.New(fault.MayHaveRun, what, readBackRemedy)
 	}
-	if code >= http.StatusInternalServerError {
+	if failed {
 		return fault.New(fault.Unavailable, what, "try again later")
 	}
 	return fault.New(fault.Invalid, what, "correct the object or --store")
