mover: the same order given again after a restore is a new move

Cause: an order keeps its identity when its object is replaced, so that an order for a version that an earlier move had reached, for example to go back to it, was taken for the restored one and settled at once. Change: an order is a restored one only if its revision is before that of the end that is known, as in the copy. Tests: the case ordered-again-after-restore; before, the move completed at once.

--- a/mesh/mover/restore.go
+++ b/mesh/mover/restore.go
@@ -28,9 +28,9 @@
 
 // moveOutcome is the state in which an order has ended.
 type moveOutcome struct {
-	id    string
-	state order.State
-	era   uint64 // in which the state was read from the store
+	id       string
+	state    order.State
+	position uint64 // of the state in the store
 }
 
 // rememberOutcome keeps the state of an order that has ended.
@@ -42,14 +42,16 @@
 			break
 		}
 	}
-	kept = append(kept, moveOutcome{id: o.ID(), state: o.State(), era: record.Era(o.Revision())})
+	kept = append(kept, moveOutcome{id: o.ID(), state: o.State(), position: o.Revision()})
 	m.outcomes[o.Service()] = kept[max(0, len(kept)-outcomesKept):]
 }
 
-// settledState returns the state in which the order has ended before the store was restored, or the state of the order.
+// settledState returns the state in which the order has ended before the store was restored, or the state of the order. The
+// copy has the order at a revision before that of its end; at a later one, operators have ordered the same again.
 func (m *Mover) settledState(o order.Order) order.State {
 	for _, known := range m.outcomes[o.Service()] {
-		if known.id == o.ID() && known.era < record.Era(o.Revision()) {
+		restored := record.Era(known.position) < record.Era(o.Revision())
+		if known.id == o.ID() && restored && record.RevisionIn(o.Revision()) < record.RevisionIn(known.position) {
 			return known.state
 		}
 	}
--- a/mesh/mover/restore_test.go
+++ b/mesh/mover/restore_test.go
@@ -109,6 +109,12 @@
 		}},
 		{"restored-completed-leader-restarts", 0, func(m *mesh) { m.restore(1, begun); m.restart(0); m.calls(18*time.Second, 0) }},
 		{"restored-taken-back-leader-restarts", 0.5, func(m *mesh) { m.restore(1, begun); m.restart(0); m.calls(18*time.Second, 0.5) }},
+		{"ordered-again-after-restore", 0, func(m *mesh) {
+			again := begun
+			again.Revision = 50
+			m.restore(1, again)
+			m.calls(17*time.Second, 0)
+		}},
 		{"restored-to-another-order", 0.5, func(m *mesh) {
 			next := begun
 			next.Target, next.Created, next.Revision = "v3", 9, 9
