--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -33,6 +33,9 @@
 	earlyResponseBodyBytes = 4 << 10
 	// maxResponsesRead is the number of responses to other requests after which the connection is abandoned.
 	maxResponsesRead = 4
+	// minStatus and maxStatus bound the status of a response that is not an interim one.
+	minStatus = http.StatusOK
+	maxStatus = 599
 )
 
 // Reasons of answers that are not a response of the upstream.
@@ -165,6 +168,7 @@
 	bounds    *boundedReader // of the response that is being read
 	reader    *bufio.Reader  // of bounds
 	refused   bool           // the upstream has refused an earlier request
+	endsBody  bool           // the end of the connection ended the response that was read last
 	sentAt    time.Time      // when the last request was sent
 	expiresAt time.Time      // when the upstream may close it if idle
 	idleSince time.Time      // when it became idle
@@ -218,6 +222,9 @@
 		// The next response may be to this call, but responses on the connection no longer match its requests.
 		defer func() { reusable = false }()
 	}
+	if conn.endsBody && a.Ran() == answer.Yes && conn.resetSeen(written) {
+		a = readFailure(io.ErrUnexpectedEOF)
+	}
 	if len(c.Body()) >= earlyResponseBodyBytes && (a.Ran() != answer.Yes || a.Status() >= http.StatusBadRequest) {
 		reusable = false
 	}
@@ -232,6 +239,18 @@
 	}
 }
 
+// resetSeen reports whether the write of the request has found the connection broken. The kernel reports a reset only once, so
+// that a read after the write ends as if the upstream had closed the connection. The write is ended if it is not yet: the
+// connection has ended. EPIPE means that the upstream closed it before the reset.
+func (c *connection) resetSeen(written chan error) bool {
+	// If this fails, the connection is closed, which ends the write as well.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	err := <-written
+	written <- err
+	var number syscall.Errno
+	return errors.As(err, &number) && number != syscall.EPIPE
+}
+
 func (x *Exchanger) writeRequest(conn *connection, c call.Call, timeLeft time.Duration) error {
 	h := http.Header{}
 	for _, line := range c.Headers() {
@@ -259,15 +278,19 @@
 // readResponse returns one response; stray reports that it answers another request.
 func (x *Exchanger) readResponse(conn *connection, c call.Call) (a answer.Answer, reusable, stray bool) {
 	conn.bounds.left = maxOverheadBytes
-	r, err := http.ReadResponse(conn.reader, &http.Request{Method: c.Method()})
+	r, err := readFinalHead(conn, c.Method())
 	if err != nil {
 		return readFailure(err), false, false
 	}
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return invalidResponse(), false, false
+	}
 	body, err := x.readBody(conn, r)
 	if err != nil {
 		return readFailure(err), false, false
 	}
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
+	conn.endsBody = !framed
 	reusable = framed && !r.Close && conn.reader.Buffered() == 0
 	conn.expiresAt = time.Now().Add(idleTimeout(r.Header.Get("Keep-Alive")))
 	notRun, wrongInstance := x.Dialect.NotRun(r.StatusCode, r.Header)
@@ -302,6 +325,16 @@
 	return answer.New(answer.Fields{Status: r.StatusCode, Headers: endToEndHeaders(r.Header), Body: body, Ran: answer.Yes}), reusable, false
 }
 
+// readFinalHead reads the head of a response behind those of any interim ones.
+func readFinalHead(conn *connection, method string) (*http.Response, error) {
+	for {
+		r, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+		if err != nil || r.StatusCode < http.StatusContinue || r.StatusCode >= minStatus || r.StatusCode == http.StatusSwitchingProtocols {
+			return r, err
+		}
+	}
+}
+
 func readFailure(err error) answer.Answer {
 	reason := ReasonConnectionLost
 	var n net.Error
--- a/mesh/gossiper/records.go
+++ b/mesh/gossiper/records.go
@@ -1,6 +1,8 @@
 package gossiper
 
 import (
+	"bytes"
+
 	"wisteriaspoke.example/mesh/message"
 	"wisteriaspoke.example/mesh/order"
 	"wisteriaspoke.example/mesh/plan"
@@ -14,7 +16,7 @@
 		if r.Kind == record.Configuration {
 			spec, err := compress(r.Spec)
 			if err != nil {
-				g.log.Error("configuration cannot be compressed", "revision", r.Revision, "error", err)
+				g.log.Error("configuration cannot be compressed", "revision", record.RevisionIn(r.Revision), "error", err)
 				continue
 			}
 			r.Spec = spec
@@ -28,24 +30,27 @@
 func (g *Gossiper) applyNewer(rs []record.Record) []record.Record {
 	var newer []record.Record
 	for _, r := range rs {
-		if !g.records.put(r) {
+		if r.Kind == record.Configuration {
+			if g.applyConfiguration(r) {
+				newer = append(newer, r)
+			}
 			continue
 		}
-		newer = append(newer, r)
-		g.applyRecord(r)
+		if g.records.put(r) {
+			newer = append(newer, r)
+			g.applyRecord(r)
+		}
 	}
 	return newer
 }
 
-// applyRecord makes a configuration or an order effective on this node.
+// applyRecord makes an order effective on this node.
 func (g *Gossiper) applyRecord(r record.Record) {
 	switch r.Kind {
-	case record.Configuration:
-		g.applyConfiguration(r)
 	case record.Orders:
 		o, err := g.decoder.Order(r)
 		if err != nil {
-			g.log.Error("order ignored", "service", r.Name, "revision", r.Revision, "error", err)
+			g.log.Error("order ignored", "service", r.Name, "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "error", err)
 			return
 		}
 		if r.Deleted {
@@ -53,8 +58,8 @@
 		} else {
 			g.orders[r.Name] = o
 		}
-		g.log.Info("order known", "service", r.Name, "target", o.Target(), "state", o.State(), "revision", r.Revision,
-			"deleted", r.Deleted)
+		g.log.Info("order known", "service", r.Name, "target", o.Target(), "state", o.State(),
+			"revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "deleted", r.Deleted)
 		g.viewStale = true
 		all := make([]order.Order, 0, len(g.orders))
 		for _, o := range g.orders {
@@ -66,10 +71,17 @@
 	}
 }
 
-func (g *Gossiper) applyConfiguration(r record.Record) {
+// applyConfiguration stores a configuration and puts it in force if its version is higher than that of the present one, and
+// reports whether it did. A store that was restored may also show other content under the same version; that at the higher
+// position is kept, so that all nodes agree.
+func (g *Gossiper) applyConfiguration(r record.Record) bool {
 	if r.Deleted {
-		g.log.Error("configuration was deleted in the store; the last one stays in force", "revision", r.Revision)
-		return
+		g.log.Error("configuration was deleted in the store; the last one stays in force", "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision))
+		return false
+	}
+	if stored := g.records.configuration(); r.Revision <= stored.Revision && bytes.Equal(r.Spec, stored.Spec) {
+		// Several nodes send each record, and decoding a large configuration takes milliseconds.
+		return false
 	}
 	spec, err := decompress(r.Spec)
 	var p *plan.Plan
@@ -77,18 +89,30 @@
 		p, err = g.decoder.Plan(spec)
 	}
 	if err != nil {
-		g.log.Error("configuration refused", "revision", r.Revision, "error", err)
+		g.log.Error("configuration refused", "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "error", err)
 		g.planObject.refuse(r.Name)
-		return
+		return false
 	}
 	g.planObject.accept(r.Name)
 	if g.plan != nil && p.Version() <= g.plan.Version() {
-		g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "revision", r.Revision)
-		return
+		stored := g.records.configuration()
+		same := p.Version() == g.plan.Version()
+		if same && bytes.Equal(r.Spec, stored.Spec) {
+			stored.Revision = max(stored.Revision, r.Revision)
+			g.records.putConfiguration(stored, p.Version())
+			return false
+		}
+		if !same || r.Revision <= stored.Revision {
+			g.log.Warn("configuration is not newer", "version", p.Version(), "inforce", g.plan.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision))
+			return false
+		}
+		g.log.Warn("configuration has other content under the same version", "version", p.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision))
 	}
+	g.records.putConfiguration(r, p.Version())
 	g.plan, g.planSince, g.viewStale = p, g.now(), true
 	planVersion.Update(int64(p.Version()))
-	g.log.Info("configuration in force", "version", p.Version(), "revision", r.Revision, "rules", p.RuleCount())
+	g.log.Info("configuration in force", "version", p.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "rules", p.RuleCount())
+	return true
 }
 
 // forwardRecords sends records that came from the store or from another region to the peers of this region, and those
@@ -114,7 +138,7 @@
 	}
 }
 
-// hasNewerRecords reports whether the peer is linked and has higher revisions than this node.
+// hasNewerRecords reports whether the peer is linked and has a newer configuration or newer orders than this node.
 func (g *Gossiper) hasNewerRecords(p *peer) bool {
 	return p.linked && p.status != nil && !g.ownRevisions().covers(p.revisions())
 }
@@ -157,7 +181,7 @@
 
 // sendMissing answers a pull request with the records that the peer lacks.
 func (g *Gossiper) sendMissing(p *peer, q *pullRequest) {
-	missing := g.records.newerThan(record.Configuration, q.ConfigurationRevision)
+	missing := g.records.newerConfiguration(q.ConfigurationRevision)
 	missing = append(missing, g.records.newerThan(record.Orders, q.OrdersRevision)...)
 	if len(missing) > 0 {
 		g.sender.Send(p.address, message.New(kindRecords, &records{Records: missing}))
