projector, sampler, chooser: an even choice from old load reports

All nodes choose by reports of the same age, so the endpoint that looked idle gets the calls of all. Input.Even draws one of the best of a few endpoints (sampler) by loads that approach the mean of their tier with the age of the report (projector). Without Even the choice is as before: the golden table of choices is unchanged.

--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -46,6 +46,7 @@
 	ExpectedServiceTime time.Duration    // expected service time of the rule's calls
 	Objective           time.Duration    // latency objective of the rule
 	Bulk                bool
+	Even                bool // spread calls evenly, as load reports are old
 	Now                 time.Time
 	Random              func(int) int // Random(n) returns a number in [0, n)
 }
@@ -56,6 +57,7 @@
 	expectedWait  time.Duration
 	maxWait       time.Duration
 	noAlternative bool
+	utilisation   float64
 }
 
 // Target returns the endpoint, or nil if there is none.
@@ -70,28 +72,36 @@
 // NoAlternative reports that there is no second-best endpoint, so that MaxWait is not set.
 func (c Choice) NoAlternative() bool { return c.noAlternative }
 
+// Utilisation returns the estimated calls at the endpoint as a fraction of its slots.
+func (c Choice) Utilisation() float64 { return c.utilisation }
+
 // Choose returns the endpoint with the lowest score: the expected time until the answer, plus costs for the tier, for
-// failures, for a recent refusal and for ejection.
+// failures, for a recent refusal and for ejection. With Even it returns one of those with low scores.
 func Choose(in Input) Choice {
+	if in.Even {
+		return chooseEvenly(in)
+	}
 	var best, second *target.Target
-	var bestScore, secondScore, bestWait time.Duration
+	var bestScore, secondScore time.Duration
+	var bestTerms Score
 	utilisation := meanUtilisation(in)
 	for _, t := range in.Targets {
 		if t.Gauge().Leaving() || slices.Contains(in.Exclude, t) {
 			continue
 		}
-		score, wait := scoreTarget(t, in, utilisation)
+		terms := scoreTarget(t, in, utilisation)
+		score := withJitter(terms.Total(), in)
 		switch {
 		case best == nil || score < bestScore:
 			second, secondScore = best, bestScore
-			best, bestScore, bestWait = t, score, wait
+			best, bestScore, bestTerms = t, score, terms
 		case second == nil || score < secondScore:
 			second, secondScore = t, score
 		}
 	}
-	c := Choice{target: best, expectedWait: bestWait, noAlternative: second == nil}
+	c := Choice{target: best, expectedWait: bestTerms.Wait, noAlternative: second == nil, utilisation: bestTerms.Utilisation}
 	if second != nil {
-		c.maxWait = max(minMaxWait, secondScore-(bestScore-bestWait))
+		c.maxWait = max(minMaxWait, secondScore-(bestScore-bestTerms.Wait))
 	}
 	return c
 }
@@ -130,33 +140,41 @@
 	return min(slots, max(minCapacity, e.Limit()*service.Seconds()))
 }
 
-// scoreTarget returns the score and the expected wait for a slot that it includes; utilisation is assumed where the
-// endpoint's load report is old or missing.
-func scoreTarget(t *target.Target, in Input, utilisation float64) (score, wait time.Duration) {
-	g, e := t.Gauge(), t.Endpoint()
+// scoreTarget returns the terms of the endpoint's score; utilisation is assumed where the load report is old or missing.
+func scoreTarget(t *target.Target, in Input, utilisation float64) Score {
 	service := serviceTime(t, in)
-	slots := capacity(e, service)
+	slots := capacity(t.Endpoint(), service)
+	own, othersCalls, weight := t.Gauge().Load(in.Now)
+	return scoreLoad(t, in, service, slots, own+weight*othersCalls+(1-weight)*utilisation*slots, fullLoadPenalty)
+}
+
+// scoreLoad returns the terms of the score of an endpoint with the estimated load.
+func scoreLoad(t *target.Target, in Input, service time.Duration, slots, load, penalty float64) Score {
+	g := t.Gauge()
 	if age := g.MeanAge(in.Now); age > service {
 		service = time.Duration(float64(age) * meanAgeFactor)
 	}
-	own, othersCalls, weight := g.Load(in.Now)
-	load := own + weight*othersCalls + (1-weight)*utilisation*slots
 	fullness := min(1, load/slots)
+	s := Score{Service: service, Load: time.Duration(float64(service) * penalty * fullness * fullness), Utilisation: load / slots}
 	if over := load + 1 - slots; over > 0 {
-		wait = time.Duration(float64(service) * over / slots)
+		s.Wait = time.Duration(float64(service) * over / slots)
 	}
-	score = service + wait + time.Duration(float64(service)*fullLoadPenalty*fullness*fullness)
-	score += time.Duration(float64(failureCost) * g.FailureRate(in.Now))
+	s.Failures = time.Duration(float64(failureCost) * g.FailureRate(in.Now))
 	if g.InBackoff(in.Bulk, in.Now) {
-		score += backoffCost
+		s.Backoff = backoffCost
 	}
 	if g.Ejected(in.Now) {
-		score += ejectedCost
+		s.Ejected = ejectedCost
 	}
 	fraction := tierCost[t.Tier()]
 	if in.Bulk {
 		fraction = bulkCost[t.Tier()]
 	}
-	score += time.Duration(fraction * float64(in.Objective))
-	return score + score*time.Duration(in.Random(jitterPerMille))/1000, wait
+	s.Tier = time.Duration(fraction * float64(in.Objective))
+	return s
+}
+
+// withJitter adds the random addition to a score.
+func withJitter(score time.Duration, in Input) time.Duration {
+	return score + score*time.Duration(in.Random(jitterPerMille))/1000
 }
--- a/mesh/gauge/gauge.go
+++ b/mesh/gauge/gauge.go
@@ -9,6 +9,8 @@
 const (
 	// reportLifetime is how long an endpoint's load report is used; most of the calls it counted have ended by then.
 	reportLifetime = time.Second
+	// steadyPeriod is the time constant of the steady ratio: several of the periods for which an endpoint is slow.
+	steadyPeriod = 3 * time.Second
 	// failureWeight is the weight of one answer in the smoothed failure rate.
 	failureWeight = 0.12
 	// failureHalfLife is the half-life of the failure rate, so that an endpoint without calls is tried again.
@@ -37,6 +39,8 @@
 	leaving             atomic.Bool
 
 	serviceTimeRatio atomic.Uint64 // float64 bits; 0 stands for 1
+	steadyRatio      atomic.Uint64 // float64 bits; 0 stands for 1
+	ratioUpdatedAt   atomic.Int64
 	failureRate      atomic.Uint64 // float64 bits, at rateUpdatedAt
 	rateUpdatedAt    atomic.Int64
 }
@@ -75,6 +79,16 @@
 	return own, float64(g.othersOutstanding.Load()), weight
 }
 
+// Report returns the number of calls that other nodes had at the endpoint by the last report, and the report's age. It
+// returns false if there was none.
+func (g *Gauge) Report(now time.Time) (others float64, age time.Duration, ok bool) {
+	at := g.reportedAt.Load()
+	if at == 0 {
+		return 0, 0, false
+	}
+	return float64(g.othersOutstanding.Load()), time.Duration(max(0, g.sinceBase(now)-at)), true
+}
+
 // MeanAge returns how long the outstanding calls of this node have been running on average, or zero without any.
 func (g *Gauge) MeanAge(now time.Time) time.Duration {
 	n := int64(g.outstanding.Load())
@@ -129,6 +143,29 @@
 	return 1
 }
 
+// UpdateSteadyRatio moves the steady ratio towards the present service time ratio, by the time since its last update.
+func (g *Gauge) UpdateSteadyRatio(now time.Time) {
+	at, last := max(1, g.sinceBase(now)), g.ratioUpdatedAt.Load()
+	// Of concurrent updates one is enough.
+	if at <= last || !g.ratioUpdatedAt.CompareAndSwap(last, at) {
+		return
+	}
+	next := g.ServiceTimeRatio()
+	if last != 0 {
+		next = g.SteadyRatio() + (next-g.SteadyRatio())*-math.Expm1(-float64(at-last)/float64(steadyPeriod))
+	}
+	g.steadyRatio.Store(math.Float64bits(next))
+}
+
+// SteadyRatio returns the service time ratio smoothed over several seconds. It shows how fast an endpoint is; the service
+// time ratio follows a few long calls and short periods in which the endpoint is slow.
+func (g *Gauge) SteadyRatio() float64 {
+	if b := g.steadyRatio.Load(); b != 0 {
+		return math.Float64frombits(b)
+	}
+	return 1
+}
+
 // RecordSuccess counts a complete answer.
 func (g *Gauge) RecordSuccess(now time.Time) {
 	g.consecutiveFailures.Store(0)
