--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -79,7 +79,7 @@
 // failures, for a recent refusal and for ejection. With Even it returns one of those with low scores.
 func Choose(in Input) Choice {
 	if in.Even {
-		return chooseEvenly(in)
+		return defaultEvenSettings.choose(in)
 	}
 	var best, second *target.Target
 	var bestScore, secondScore time.Duration
--- a/mesh/chooser/load_test.go
+++ b/mesh/chooser/load_test.go
@@ -44,8 +44,11 @@
 // speeds multiply the service time; a third of the endpoints has each.
 var speeds = [...]float64{0.7, 0.7, 1.7}
 
-// demand is the share of each data centre in the load, as a multiple of the mean.
-var demand = [dataCentres]float64{1.45, 1.1, 0.7, 0.95, 1.0, 0.8}
+// unevenDemand and evenDemand are the shares of the data centres in the load, as multiples of the mean.
+var (
+	unevenDemand = [dataCentres]float64{1.45, 1.1, 0.7, 0.95, 1.0, 0.8}
+	evenDemand   = [dataCentres]float64{1, 1, 1, 1, 1, 1}
+)
 
 // outcome holds the figures of a run.
 type outcome struct {
@@ -139,7 +142,7 @@
 }
 
 // simulate runs the load at a fraction of the endpoints' capacity.
-func simulate(load float64, seed uint64, choose func(*simulatedNode, Input) Choice) outcome {
+func simulate(load float64, demand [dataCentres]float64, seed uint64, choose func(*simulatedNode, Input) Choice) outcome {
 	s := &simulated{start: now, random: rand.New(rand.NewPCG(seed, 1)), choose: choose}
 	capacity := 0.0
 	for i := range endpoints {
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -45,11 +45,21 @@
 	// retryBudgetFraction is the fraction of the mesh's retry budget that is used. The rest is a margin, as the nodes'
 	// shares do not add up exactly while nodes join and leave.
 	retryBudgetFraction = 0.7
+	// percent is the factor from a fraction to the value of a metric.
+	percent = 100
 )
 
 var (
-	retries         = metrics.GetOrRegisterCounter("call.repeats", nil)
-	reroutes        = metrics.GetOrRegisterCounter("call.reroutes", nil)
+	retries  = metrics.GetOrRegisterCounter("call.repeats", nil)
+	reroutes = metrics.GetOrRegisterCounter("call.reroutes", nil)
+	// choices counts chosen endpoints by tier.
+	choices = [...]metrics.Counter{
+		target.Local:          metrics.GetOrRegisterCounter("call.choices.own", nil),
+		target.SameDataCentre: metrics.GetOrRegisterCounter("call.choices.centre", nil),
+		target.SameRegion:     metrics.GetOrRegisterCounter("call.choices.region", nil),
+		target.RemoteRegion:   metrics.GetOrRegisterCounter("call.choices.far", nil),
+	}
+	utilisations    = metrics.GetOrRegisterHistogram("call.utilisation.percent", nil, metrics.NewExpDecaySample(1028, 0.015))
 	budgetExhausted = metrics.GetOrRegisterCounter("call.unaffordable", nil)
 )
 
@@ -100,6 +110,8 @@
 	RepeatReserve float64       `help:"Repeats that the whole mesh may send to a service beyond the ratio, in each window." default:"50" env:"WISTERIASPOKE_REPEAT_RESERVE"`
 	RepeatWindow  time.Duration `help:"Window of the bound on repeats." default:"10s" env:"WISTERIASPOKE_REPEAT_WINDOW"`
 
+	Even bool `help:"Spread calls evenly over the endpoints, as load reports are old." env:"WISTERIASPOKE_EVEN"`
+
 	log         *slog.Logger
 	nodes       nodeCounter
 	peers       peerCaller
@@ -231,10 +243,15 @@
 }
 
 func (f *Forwarder) choose(q *request, targets []*target.Target) chooser.Choice {
-	return chooser.Choose(chooser.Input{
-		Targets: targets, Exclude: q.tried, ExpectedServiceTime: q.expectedServiceTime, Objective: q.rule.Objective(), Bulk: q.rule.Bulk(), Now: time.Now(),
+	c := chooser.Choose(chooser.Input{
+		Targets: targets, Exclude: q.tried, ExpectedServiceTime: q.expectedServiceTime, Objective: q.rule.Objective(), Bulk: q.rule.Bulk(), Even: f.Even, Now: time.Now(),
 		Random: f.random,
 	})
+	if t := c.Target(); t != nil {
+		choices[t.Tier()].Inc(1)
+		utilisations.Update(int64(percent * c.Utilisation()))
+	}
+	return c
 }
 
 func refusal(reason string, wait time.Duration) answer.Answer {
@@ -357,6 +374,7 @@
 	}
 	if a.ServiceTimeRatio() > 0 {
 		g.SetServiceTimeRatio(float64(a.ServiceTimeRatio()) / 1000)
+		g.UpdateSteadyRatio(now)
 	}
 	if a.Ran() == answer.No && a.Reason() != exchanger.ReasonShed || a.Reason() == exchanger.ReasonCancelled {
 		return
--- a/mesh/gauge/gauge.go
+++ b/mesh/gauge/gauge.go
@@ -11,6 +11,9 @@
 	reportLifetime = time.Second
 	// steadyPeriod is the time constant of the steady ratio: several of the periods for which an endpoint is slow.
 	steadyPeriod = 3 * time.Second
+	// steadyExponent lessens the differences between steady ratios: a slow endpoint has more calls in progress anyway, and
+	// the ratio follows a few long calls.
+	steadyExponent = 0.2
 	// failureWeight is the weight of one answer in the smoothed failure rate.
 	failureWeight = 0.12
 	// failureHalfLife is the half-life of the failure rate, so that an endpoint without calls is tried again.
@@ -39,7 +42,8 @@
 	leaving             atomic.Bool
 
 	serviceTimeRatio atomic.Uint64 // float64 bits; 0 stands for 1
-	steadyRatio      atomic.Uint64 // float64 bits; 0 stands for 1
+	smoothedRatio    atomic.Uint64 // float64 bits; 0 before the first update
+	steadyRatio      atomic.Uint64 // float64 bits, from smoothedRatio; 0 stands for 1
 	ratioUpdatedAt   atomic.Int64
 	failureRate      atomic.Uint64 // float64 bits, at rateUpdatedAt
 	rateUpdatedAt    atomic.Int64
@@ -151,14 +155,16 @@
 		return
 	}
 	next := g.ServiceTimeRatio()
-	if last != 0 {
-		next = g.SteadyRatio() + (next-g.SteadyRatio())*-math.Expm1(-float64(at-last)/float64(steadyPeriod))
+	if b := g.smoothedRatio.Load(); b != 0 {
+		old := math.Float64frombits(b)
+		next = old + (next-old)*-math.Expm1(-float64(at-last)/float64(steadyPeriod))
 	}
-	g.steadyRatio.Store(math.Float64bits(next))
+	g.smoothedRatio.Store(math.Float64bits(next))
+	g.steadyRatio.Store(math.Float64bits(math.Pow(next, steadyExponent)))
 }
 
-// SteadyRatio returns the service time ratio smoothed over several seconds. It shows how fast an endpoint is; the service
-// time ratio follows a few long calls and short periods in which the endpoint is slow.
+// SteadyRatio returns the service time ratio smoothed over several seconds, nearer to 1. It shows how fast an endpoint is;
+// the service time ratio also follows a few long calls and short periods in which the endpoint is slow.
 func (g *Gauge) SteadyRatio() float64 {
 	if b := g.steadyRatio.Load(); b != 0 {
 		return math.Float64frombits(b)
--- a/mesh/gossiper/heartbeats.go
+++ b/mesh/gossiper/heartbeats.go
@@ -93,5 +93,6 @@
 	if p.gauge != nil && h.ServiceTimeRatio > 0 {
 		p.gauge.RecordLoad(h.Outstanding, now)
 		p.gauge.SetServiceTimeRatio(float64(h.ServiceTimeRatio) / 1000)
+		p.gauge.UpdateSteadyRatio(now)
 	}
 }
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -78,6 +78,7 @@
 	if p.gauge != nil && u.ServiceTimeRatio > 0 {
 		p.gauge.RecordLoad(u.Outstanding, now)
 		p.gauge.SetServiceTimeRatio(float64(u.ServiceTimeRatio) / 1000)
+		p.gauge.UpdateSteadyRatio(now)
 	}
 	switch {
 	case old == nil, (old.Endpoint == nil) != (u.Endpoint == nil), old.Leaving != u.Leaving:
--- a/mesh/projector/projector.go
+++ b/mesh/projector/projector.go
@@ -1,9 +1,6 @@
 package projector
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// Groups is the number of groups of endpoints that have a mean utilisation of their own.
@@ -22,7 +19,7 @@
 
 // Add adds a report of an endpoint of the group to the group's mean utilisation.
 func (p *Projector) Add(group int, others, slots float64, age time.Duration) {
-	weight := math.Exp(-float64(age) / float64(meanLifetime))
+	weight := decay(float64(age) / float64(meanLifetime))
 	p.used[group] += weight * others
 	p.slots[group] += weight * slots
 }
@@ -47,6 +44,9 @@
 // Others returns how many calls other nodes have at an endpoint of the group, whose report of that age said others:
 // between the report and the group's mean, by the age in units of the service time.
 func (p *Projector) Others(group int, others, slots float64, age, service time.Duration) float64 {
-	weight := math.Exp(-float64(age) / float64(max(1, service)))
+	weight := decay(float64(age) / float64(max(1, service)))
 	return weight*others + (1-weight)*p.Utilisation(group)*slots
 }
+
+// decay falls from 1 to 0 nearly as e to the power of -x, at a fraction of the cost.
+func decay(x float64) float64 { return 1 / (1 + x + x*x/2) }
