--- a/mesh/chooser/even.go
+++ b/mesh/chooser/even.go
@@ -21,8 +21,8 @@
 // defaultEvenSettings consider few endpoints of other data centres, so that a call leaves its data centre because that is
 // full and not because one of many other endpoints happens to look idle.
 var defaultEvenSettings = evenSettings{
-	sizes: [sampler.Groups]int{target.SameDataCentre: 5, target.SameRegion: 3, target.RemoteRegion: 8},
-	best:  5, near: 0.6, loadPenalty: 2, minWait: 0.1,
+	sizes: [sampler.Groups]int{target.SameDataCentre: 6, target.SameRegion: 2, target.RemoteRegion: 8},
+	best:  5, near: 0.6, loadPenalty: 1, minWait: 0.1,
 }
 
 // evenGroup returns the group of an endpoint for sampling and for mean utilisations. The local endpoint belongs to those
@@ -42,7 +42,8 @@
 // the same loads, so an endpoint that looks best to all would get the calls of all.
 func (e *evenSettings) choose(in Input) Choice {
 	loads := projectLoads(in)
-	draw := sampler.Sampler{Sizes: e.sizes, Best: e.best, Near: time.Duration(e.near * float64(in.ExpectedServiceTime)), Random: in.Random}
+	near := time.Duration(e.near * float64(in.ExpectedServiceTime))
+	draw := sampler.Sampler{Sizes: e.sizes, Best: e.best, Near: near, Random: in.Random}
 	for i, t := range in.Targets {
 		if excluded(t, in) {
 			continue
--- a/mesh/sampler/sampler.go
+++ b/mesh/sampler/sampler.go
@@ -68,7 +68,14 @@
 	var groups [maxSample]int
 	limit, n := max(2, min(s.Best+1, maxSample)), 0
 	for group := range Groups {
-		for _, c := range s.sample[group][:s.count(group)] {
+		count := s.count(group)
+		if count == 0 {
+			continue
+		}
+		// Of equal scores the first counts as the lowest, so the order must not depend on the place in the caller's list.
+		first := s.Random(count)
+		for k := range count {
+			c := s.sample[group][(first+k)%count]
 			i := n
 			for i > 0 && best[i-1].score > c.score {
 				i--
@@ -86,16 +93,16 @@
 		return Nobody, Nobody
 	}
 	var eligible [maxSample]int
-	count := 0
+	eligibleCount := 0
 	for i := range min(n, s.Best) {
 		if i == 0 || groups[i] <= groups[0] && best[i].score-best[0].score <= s.Near {
-			eligible[count] = i
-			count++
+			eligible[eligibleCount] = i
+			eligibleCount++
 		}
 	}
 	chosen := 0
-	if count > 1 {
-		chosen = eligible[s.Random(count)]
+	if eligibleCount > 1 {
+		chosen = eligible[s.Random(eligibleCount)]
 	}
 	switch {
 	case n == 1:
