explainer, ctl/explain: where a request would go, and why

The node serves /explain on its admin address from the published view; the scores come from chooser.Explain, which shares the code of Choose, and refusals, retries and waits from methods of forwarder that Forward uses. Pages of other parts are served by meter.

--- a/ctl/explain/explain.go
+++ b/ctl/explain/explain.go
@@ -9,7 +9,9 @@
 	"slices"
 	"strings"
 
+	"wisteriaspoke.example/ctl/client"
 	"wisteriaspoke.example/ctl/core"
+	"wisteriaspoke.example/mesh/fault"
 )
 
 func init() {
@@ -22,11 +24,22 @@
 	Host   string            `help:"Host of the call."`
 	Path   string            `help:"Path of the call." default:"/"`
 	Header map[string]string `help:"Header of the call." placeholder:"NAME=VALUE" mapsep:"none"`
+
+	Request []string `arg:"" optional:"" help:"NODE METHOD HOST PATH: ask the node at this admin address where the request would go now."`
+	Tenant  string   `help:"Name of the tenant whose request NODE explains." placeholder:"NAME"`
+	KeyHash string   `help:"First 16 bytes of the SHA-256 of a key, hexadecimal, whose tenant NODE names." placeholder:"HEX"`
+	JSON    bool     `name:"json" help:"Print the answer of NODE as JSON, like --output json."`
 }
 
+// requestWords is the number of words of Request.
+const requestWords = 4
+
 // Run prints each value of the answer on a line and each list of objects as a table. Its fields are not fixed here: the
 // node decides which ones it returns.
 func (c *Explain) Run(s *core.Session) error {
+	if len(c.Request) > 0 || c.Tenant != "" || c.KeyHash != "" || c.JSON {
+		return c.explainRequest(s)
+	}
 	query := url.Values{"method": {c.Method}, "host": {c.Host}, "path": {c.Path}}
 	for _, name := range slices.Sorted(maps.Keys(c.Header)) {
 		query.Add("header", name+"="+c.Header[name])
@@ -102,3 +115,27 @@
 	}
 	return name + "." + key
 }
+
+// explainRequest asks a node at its admin address about Request.
+func (c *Explain) explainRequest(s *core.Session) error {
+	if len(c.Request) != requestWords {
+		return fault.New(fault.Invalid, "not all of NODE METHOD HOST PATH are named", "name them in this order, for example 127.0.0.1:9100 GET a.example /")
+	}
+	query := url.Values{"method": {c.Request[1]}, "host": {c.Request[2]}, "path": {c.Request[3]}}
+	if c.Tenant != "" {
+		query.Set("tenant", c.Tenant)
+	}
+	if c.KeyHash != "" {
+		query.Set("keyhash", c.KeyHash)
+	}
+	node := *s
+	// The admin address takes no token.
+	node.Client = &client.Client{Servers: c.Request[:1], Timeout: s.Client.Timeout}
+	node.JSON = s.JSON || c.JSON
+	var answer request
+	raw, err := node.Get("/explain", query, &answer)
+	if err != nil {
+		return err
+	}
+	return node.Print(raw, answer.writeText)
+}
--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -1,7 +1,6 @@
 package chooser
 
 import (
-	"slices"
 	"time"
 
 	"wisteriaspoke.example/mesh/endpoint"
@@ -86,7 +85,7 @@
 	var bestTerms Score
 	utilisation := meanUtilisation(in)
 	for _, t := range in.Targets {
-		if t.Gauge().Leaving() || slices.Contains(in.Exclude, t) {
+		if excluded(t, in) {
 			continue
 		}
 		terms := scoreTarget(t, in, utilisation)
--- a/mesh/chooser/chooser_test.go
+++ b/mesh/chooser/chooser_test.go
@@ -191,3 +191,35 @@
 		return int(state>>8) % n
 	}
 }
+
+// TestExplain guards against an explanation whose choice or scores are not those of Choose.
+func TestExplain(t *testing.T) {
+	fixtures := []fixture{
+		{name: "a1-x", otherCalls: 12, failures: 1}, {name: "a1-y", otherCalls: 5, serviceTimeRatio: 1.5}, {name: "a2-x", backoff: true},
+		{name: "b1-x", otherCalls: 1}, {name: "a1-own", leaving: true},
+	}
+	for _, even := range []bool{false, true} {
+		in := Input{ExpectedServiceTime: 100 * time.Millisecond, Objective: 400 * time.Millisecond, Now: now, Even: even}
+		in.Random = func(int) int { return 0 }
+		for _, f := range fixtures {
+			in.Targets = append(in.Targets, f.target())
+		}
+		e := Explain(in)
+		if e.Choice() != Choose(in) {
+			t.Errorf("even %v: the explained choice is %v, want %v", even, e.Choice(), Choose(in))
+		}
+		best := -1
+		for i := range in.Targets {
+			s, ok := e.Score(i)
+			if ok && (best < 0 || s.Total() < e.scores[best].Total()) {
+				best = i
+			}
+			if ok == in.Targets[i].Gauge().Leaving() {
+				t.Errorf("even %v: %s has a score: %v", even, fixtures[i].name, ok)
+			}
+		}
+		if in.Targets[best] != e.Choice().Target() || e.scores[best].Wait != e.Choice().ExpectedWait() {
+			t.Errorf("even %v: the lowest score is that of %s, the choice is %s", even, fixtures[best].name, e.Choice().Target().Endpoint().Address())
+		}
+	}
+}
--- a/mesh/meter/meter.go
+++ b/mesh/meter/meter.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
+	"net/url"
 	"strings"
 	"time"
 
@@ -32,12 +34,20 @@
 	Ready() error
 }
 
+// pageServer is implemented by parts that serve a page at the admin address.
+type pageServer interface {
+	// Page returns the value that the page of the path shows as JSON, or an error for the client; it must not block. It
+	// returns false if the path is not one of the part.
+	Page(path string, query url.Values) (value any, found bool, err error)
+}
+
 // Meter serves health, readiness and metrics of the process over HTTP.
 type Meter struct {
 	Admin string `help:"IP address and port of health, readiness and metrics; port 0 takes a free one." placeholder:"IP:PORT" default:"127.0.0.1:0" env:"WISTERIASPOKE_ADMIN"`
 
 	registry          metrics.Registry
 	readinessCheckers []readinessChecker
+	pageServers       []pageServer
 	listener          net.Listener
 	http              *fasthttp.Server
 }
@@ -58,6 +68,7 @@
 	}
 	m.listener = listener
 	m.readinessCheckers = kernel.All[readinessChecker](k)
+	m.pageServers = kernel.All[pageServer](k)
 	m.http = &fasthttp.Server{
 		Handler:               m.handle,
 		GetOnly:               true,
@@ -109,6 +120,9 @@
 		r.SetContentType("text/plain; version=0.0.4; charset=utf-8")
 		r.SetBodyString(render(m.registry))
 	default:
+		if m.handlePage(r) {
+			return
+		}
 		r.Error("unknown path; use /healthz, /readyz or /metrics\n", fasthttp.StatusNotFound)
 	}
 }
@@ -128,3 +142,45 @@
 	r.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	r.SetBodyString(strings.Join(reasons, "\n") + "\n")
 }
+
+// handlePage responds with the page of another part as JSON, or with its error. It returns false if no part has the path.
+func (m *Meter) handlePage(r *fasthttp.RequestCtx) bool {
+	query, err := url.ParseQuery(string(r.URI().QueryString()))
+	if err != nil {
+		return false
+	}
+	for _, p := range m.pageServers {
+		value, found, err := p.Page(string(r.Path()), query)
+		if !found {
+			continue
+		}
+		if err != nil {
+			r.SetStatusCode(fasthttp.StatusBadRequest)
+			value = describe(err)
+		}
+		body, err := json.Marshal(value)
+		if err != nil {
+			r.Error(err.Error()+"\n", fasthttp.StatusInternalServerError)
+			return true
+		}
+		r.SetContentType("application/json")
+		r.SetBody(append(body, '\n'))
+		return true
+	}
+	return false
+}
+
+// problem is the JSON form of an error.
+type problem struct {
+	Kind   fault.Kind `json:"kind"`
+	What   string     `json:"what"`
+	Remedy string     `json:"remedy"`
+}
+
+func describe(err error) problem {
+	var f *fault.Error
+	if !errors.As(err, &f) {
+		return problem{What: err.Error()}
+	}
+	return problem{Kind: f.Kind(), What: strings.TrimSuffix(f.Error(), "; "+f.Remedy()), Remedy: f.Remedy()}
+}
--- a/mesh/meter/meter_test.go
+++ b/mesh/meter/meter_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/sebdah/goldie/v2"
 	"go.uber.org/goleak"
 
+	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/kernel"
 )
 
@@ -37,6 +39,16 @@
 func (f *fake) Start(context.Context, *kernel.Kernel) (<-chan error, error) { return nil, nil }
 func (f *fake) Ready() error                                                { return f.err }
 
+func (f *fake) Page(path string, query url.Values) (any, bool, error) {
+	if path != "/page" {
+		return nil, false, nil
+	}
+	if query.Get("name") == "" {
+		return nil, true, fault.New(fault.Invalid, "name is missing", "set it")
+	}
+	return map[string]string{"name": query.Get("name")}, true, nil
+}
+
 // start runs a meter over the registry; errs are the parts' readiness errors.
 func start(t *testing.T, r metrics.Registry, errs ...error) *Meter {
 	t.Helper()
@@ -120,3 +132,16 @@
 		t.Error("a name was accepted as an address")
 	}
 }
+
+// TestPages guards against a page of a part that is not served, and against an error without the remedy.
+func TestPages(t *testing.T) {
+	m := start(t, metrics.NewRegistry())
+	for path, want := range map[string]string{
+		"/page?name=a%26b": "GET /page?name=a%26b: 200\n{\"name\":\"a\\u0026b\"}\n",
+		"/page":            "GET /page: 400\n{\"kind\":\"invalid\",\"what\":\"name is missing\",\"remedy\":\"set it\"}\n",
+	} {
+		if got := get(t, m, path); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+}
