--- a/mesh/gauge/gauge.go
+++ b/mesh/gauge/gauge.go
@@ -9,6 +9,11 @@
 const (
 	// reportLifetime is how long an endpoint's load report is used; most of the calls it counted have ended by then.
 	reportLifetime = time.Second
+	// steadyPeriod is the time constant of the steady ratio: several of the periods for which an endpoint is slow.
+	steadyPeriod = 3 * time.Second
+	// steadyExponent lessens the differences between steady ratios: a slow endpoint has more calls in progress anyway, and
+	// the ratio follows a few long calls.
+	steadyExponent = 0.2
 	// failureWeight is the weight of one answer in the smoothed failure rate.
 	failureWeight = 0.12
 	// failureHalfLife is the half-life of the failure rate, so that an endpoint without calls is tried again.
@@ -37,6 +42,9 @@
 	leaving             atomic.Bool
 
 	serviceTimeRatio atomic.Uint64 // float64 bits; 0 stands for 1
+	smoothedRatio    atomic.Uint64 // float64 bits; 0 before the first update
+	steadyRatio      atomic.Uint64 // float64 bits, from smoothedRatio; 0 stands for 1
+	ratioUpdatedAt   atomic.Int64
 	failureRate      atomic.Uint64 // float64 bits, at rateUpdatedAt
 	rateUpdatedAt    atomic.Int64
 }
@@ -75,6 +83,16 @@
 	return own, float64(g.othersOutstanding.Load()), weight
 }
 
+// Report returns the number of calls that other nodes had at the endpoint by the last report, and the report's age. It
+// returns false if there was none.
+func (g *Gauge) Report(now time.Time) (others float64, age time.Duration, ok bool) {
+	at := g.reportedAt.Load()
+	if at == 0 {
+		return 0, 0, false
+	}
+	return float64(g.othersOutstanding.Load()), time.Duration(max(0, g.sinceBase(now)-at)), true
+}
+
 // MeanAge returns how long the outstanding calls of this node have been running on average, or zero without any.
 func (g *Gauge) MeanAge(now time.Time) time.Duration {
 	n := int64(g.outstanding.Load())
@@ -129,6 +147,31 @@
 	return 1
 }
 
+// UpdateSteadyRatio moves the steady ratio towards the present service time ratio, by the time since its last update.
+func (g *Gauge) UpdateSteadyRatio(now time.Time) {
+	at, last := max(1, g.sinceBase(now)), g.ratioUpdatedAt.Load()
+	// Of concurrent updates one is enough.
+	if at <= last || !g.ratioUpdatedAt.CompareAndSwap(last, at) {
+		return
+	}
+	next := g.ServiceTimeRatio()
+	if b := g.smoothedRatio.Load(); b != 0 {
+		old := math.Float64frombits(b)
+		next = old + (next-old)*-math.Expm1(-float64(at-last)/float64(steadyPeriod))
+	}
+	g.smoothedRatio.Store(math.Float64bits(next))
+	g.steadyRatio.Store(math.Float64bits(math.Pow(next, steadyExponent)))
+}
+
+// SteadyRatio returns the service time ratio smoothed over several seconds, nearer to 1. It shows how fast an endpoint is;
+// the service time ratio also follows a few long calls and short periods in which the endpoint is slow.
+func (g *Gauge) SteadyRatio() float64 {
+	if b := g.steadyRatio.Load(); b != 0 {
+		return math.Float64frombits(b)
+	}
+	return 1
+}
+
 // RecordSuccess counts a complete answer.
 func (g *Gauge) RecordSuccess(now time.Time) {
 	g.consecutiveFailures.Store(0)
