--- a/mesh/gossiper/outage_test.go
+++ b/mesh/gossiper/outage_test.go
@@ -109,6 +109,7 @@
 	}
 }
 
+func (n *storeNode) Delete(context.Context, record.Kind, string) error { return nil }
 func (n *storeNode) Put(ctx context.Context, _ record.Kind, _ string, _ []byte) error {
 	return n.begin(ctx)
 }
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -82,6 +83,8 @@
 	Watch(ctx context.Context, kind record.Kind, after uint64, wait time.Duration) (rs []record.Record, at uint64, err error)
 	// Put creates or replaces an object, whatever its revision.
 	Put(ctx context.Context, kind record.Kind, name string, spec []byte) error
+	// Delete removes an object, whatever its revision; that there is none is not an error.
+	Delete(ctx context.Context, kind record.Kind, name string) error
 }
 
 // cluster distributes records to the other nodes and lists these nodes.
@@ -117,11 +120,12 @@
 
 // Watcher registers this node in the store and watches the store for changes.
 type Watcher struct {
-	log     *slog.Logger
-	store   store
-	cluster cluster
-	spacers []spacer
-	node    string // address of this node
+	log          *slog.Logger
+	store        store
+	cluster      cluster
+	spacers      []spacer
+	node         string      // address of this node
+	deregistered atomic.Bool // this node stops
 }
 
 // Start starts the calls to the store without waiting for it, so that a node starts even if the store does not answer.
@@ -178,7 +182,7 @@
 		switch {
 		case err != nil:
 			delay = b.next()
-		case lost:
+		case lost && !w.deregistered.Load():
 			if err := w.putEntryAgain(ctx, &b); err != nil {
 				return err
 			}
@@ -195,6 +199,14 @@
 	}
 }
 
+// Deregister removes this node's entry from the store and does not write it again.
+func (w *Watcher) Deregister(ctx context.Context) error {
+	w.deregistered.Store(true)
+	return w.callStore(ctx, "delete entry", func(ctx context.Context) error {
+		return w.store.Delete(ctx, record.Hosts, w.node)
+	})
+}
+
 // putEntry writes this node's entry, repeatedly until the store has it.
 func (w *Watcher) putEntry(ctx context.Context, b *backoff) error {
 	for {
--- a/mesh/watcher/watcher_test.go
+++ b/mesh/watcher/watcher_test.go
@@ -108,6 +108,16 @@
 	}
 }
 
+func (s *fakeStore) Delete(ctx context.Context, kind record.Kind, name string) error {
+	if err := s.begin(ctx, "delete %s %s", kind, name); err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.hosts = slices.DeleteFunc(s.hosts, func(r record.Record) bool { return r.Name == name })
+	return nil
+}
+
 func (s *fakeStore) Put(ctx context.Context, kind record.Kind, name string, _ []byte) error {
 	if err := s.begin(ctx, "put %s %s", kind, name); err != nil {
 		return err
