ratelimiter, deregistrar: a stopping node releases the shares of limits at once

Cause: the shares were released in the order of the drains, after the callers' requests were answered, 2.6 s after SIGTERM. Test: deregistrar TestDrain, ratelimiter TestRemoteOwner.

--- a/mesh/deregistrar/deregistrar.go
+++ b/mesh/deregistrar/deregistrar.go
@@ -29,10 +29,18 @@
 	View() *view.View
 }
 
-// Deregistrar removes this node's entry from the store when the node stops in order, if tenants have limits. Nodes that
-// start divide the limits by the number of entries, so entries of hosts that are gone would make the shares too small.
+// shareHolder holds the shares of limits that other nodes have lent to this one.
+type shareHolder interface {
+	// ReleaseShares tells the other nodes that this one uses their shares no more.
+	ReleaseShares(ctx context.Context) error
+}
+
+// Deregistrar withdraws this node from the division of limits when the node stops in order, if tenants have limits. It removes
+// the entry in the store: nodes that start divide the limits by the number of entries, so entries of hosts that are gone
+// would make the shares too small.
 type Deregistrar struct {
 	log          *slog.Logger
+	shares       shareHolder
 	registration registration
 	views        viewSource
 	stopping     chan struct{}
@@ -41,6 +49,9 @@
 // Start starts the goroutine that waits for the drain.
 func (d *Deregistrar) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
 	var err error
+	if d.shares, err = kernel.Need[shareHolder](k); err != nil {
+		return nil, err
+	}
 	if d.registration, err = kernel.Need[registration](k); err != nil {
 		return nil, err
 	}
@@ -53,7 +64,7 @@
 	return end, nil
 }
 
-// Drain lets the entry be removed and does not wait for it.
+// Drain lets the node be withdrawn and does not wait for it.
 func (d *Deregistrar) Drain(context.Context) error {
 	select {
 	case d.stopping <- struct{}{}:
@@ -70,11 +81,13 @@
 	}
 	if d.limitsExist() {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		err := d.registration.Deregister(call)
-		cancel()
-		if err != nil {
+		if err := d.shares.ReleaseShares(call); err != nil {
+			d.log.Warn("shares of limits are not released", "error", err)
+		}
+		if err := d.registration.Deregister(call); err != nil {
 			d.log.Warn("this node's entry remains in the store", "error", err)
 		}
+		cancel()
 	}
 	<-ctx.Done()
 	return ctx.Err()
--- a/mesh/deregistrar/deregistrar_test.go
+++ b/mesh/deregistrar/deregistrar_test.go
@@ -13,18 +13,26 @@
 	"wisteriaspoke.example/mesh/view"
 )
 
-// fakeParts holds a configuration and counts the removals of the entry.
+// fakeParts holds a configuration and counts the removals of the entry after a release of the shares.
 type fakeParts struct {
-	plan    *plan.Plan
-	removed int
+	plan     *plan.Plan
+	released bool
+	removed  int
 }
 
 func (f *fakeParts) View() *view.View { return view.New(f.plan, time.Time{}, nil) }
 func (f *fakeParts) Deregister(context.Context) error {
-	f.removed++
+	if f.released {
+		f.removed++
+	}
 	return errors.New("the store does not answer")
 }
 
+func (f *fakeParts) ReleaseShares(context.Context) error {
+	f.released = true
+	return nil
+}
+
 // TestDrain guards against entries of hosts that are gone, and against calls to the store of nodes that divide no limits.
 func TestDrain(t *testing.T) {
 	none := plan.New(1, plan.Limits{}, nil, nil)
@@ -37,7 +45,7 @@
 	}{{"no configuration", nil, 0}, {"no tenants", none, 0}, {"no limits", unlimited, 0}, {"limits", limited, 1}} {
 		synctest.Test(t, func(t *testing.T) {
 			f := &fakeParts{plan: c.plan}
-			d := &Deregistrar{log: slog.New(slog.DiscardHandler), registration: f, views: f, stopping: make(chan struct{}, 1)}
+			d := &Deregistrar{log: slog.New(slog.DiscardHandler), shares: f, registration: f, views: f, stopping: make(chan struct{}, 1)}
 			ctx, cancel := context.WithCancel(context.Background())
 			end := make(chan error, 1)
 			go func() { end <- d.run(ctx) }()
--- a/mesh/deregistrar/doc.go
+++ b/mesh/deregistrar/doc.go
@@ -1,2 +1,2 @@
-// Package deregistrar is the part that removes a stopping node's entry from the store.
+// Package deregistrar is the part that withdraws a stopping node from the division of the tenants' limits.
 package deregistrar
--- a/mesh/ratelimiter/ratelimiter.go
+++ b/mesh/ratelimiter/ratelimiter.go
@@ -211,8 +211,9 @@
 	return true
 }
 
-// Drain tells the nodes that lend their shares to this one that they can use them again.
-func (r *RateLimiter) Drain(ctx context.Context) error {
+// ReleaseShares tells the nodes that lend their shares to this one that they can use them again. A stopping node does so at
+// once, as it answers requests for seconds before it ends.
+func (r *RateLimiter) ReleaseShares(ctx context.Context) error {
 	if !r.started.Load() {
 		return nil
 	}
