--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -297,6 +297,11 @@
 	return answer.New(answer.Fields{Status: http.StatusServiceUnavailable, Ran: answer.No, Reason: reason, RetryAfter: wait.Milliseconds()})
 }
 
+// Elapsed returns how long the caller's earlier attempts at a request of the rule took, given how long it still waits.
+func (f *Forwarder) Elapsed(r *rule.Rule, timeLeft time.Duration) time.Duration {
+	return f.elapsedBefore(r.Name(), timeLeft.Milliseconds())
+}
+
 // elapsedBefore returns how long the caller's earlier attempts at the request took. A first attempt has the most time
 // left, so this is the difference from the maximum seen for the rule.
 func (f *Forwarder) elapsedBefore(rule string, timeLeft int64) time.Duration {
--- a/mesh/ratelimiter/ratelimiter.go
+++ b/mesh/ratelimiter/ratelimiter.go
@@ -146,7 +146,10 @@
 
 // Take takes a token of the tenant for a request. Without one it returns false, and after which time the request may
 // come again. It waits a short time for a token if another node may have one.
-func (r *RateLimiter) Take(ctx context.Context, t *tenant.Tenant) (retryAfter time.Duration, ok bool) {
+//
+// A late request has missed its latency objective. While the tenant's tokens are short, it gets none: requests would wait
+// for each other in turn until all of them are late.
+func (r *RateLimiter) Take(ctx context.Context, t *tenant.Tenant, late bool) (retryAfter time.Duration, ok bool) {
 	if t.RatePerSecond() <= 0 {
 		return 0, true
 	}
@@ -155,6 +158,9 @@
 		a = r.spender.Account(limitOf(t))
 	}
 	now := r.now()
+	if late && a.Short(now) {
+		return a.RefuseLate(now, rand.Float64()), false
+	}
 	if a.Take(now) {
 		if a.Low() {
 			r.wake()
--- a/mesh/ratelimiter/ratelimiter_test.go
+++ b/mesh/ratelimiter/ratelimiter_test.go
@@ -128,7 +128,7 @@
 		results := make(chan result, 200)
 		for range cap(results) {
 			go func() {
-				wait, ok := p.Take(ctx, tn)
+				wait, ok := p.Take(ctx, tn, false)
 				results <- result{wait, ok}
 			}()
 		}
@@ -172,7 +172,7 @@
 		for _, p := range c.parts {
 			for range 3 {
 				begun := time.Now()
-				if wait, ok := p.Take(ctx, tn); !ok || time.Since(begun) > maxPatience {
+				if wait, ok := p.Take(ctx, tn, false); !ok || time.Since(begun) > maxPatience {
 					t.Errorf("node %s refuses a request below the limit (%v) after %v", p.self, wait, time.Since(begun))
 				}
 			}
@@ -199,7 +199,7 @@
 		c := startCluster(t, ctx, 3, tn)
 		time.Sleep(5 * time.Second)
 		for range 100 {
-			if _, ok := c.parts["0"].Take(ctx, tn); !ok {
+			if _, ok := c.parts["0"].Take(ctx, tn, false); !ok {
 				t.Fatal("a request without a limit is refused")
 			}
 		}
@@ -222,7 +222,7 @@
 		left, leave := context.WithTimeout(ctx, 40*time.Millisecond)
 		defer leave()
 		begun := time.Now()
-		if _, ok := p.Take(left, tn); ok || time.Since(begun) > 40*time.Millisecond {
+		if _, ok := p.Take(left, tn, false); ok || time.Since(begun) > 40*time.Millisecond {
 			t.Errorf("ok %v after %v", ok, time.Since(begun))
 		}
 		cancel()
@@ -243,10 +243,10 @@
 	c.parts["0"] = p
 	end := p.start(ctx, machine.Config{Node: "0", Incarnation: 1})
 	for ok := false; !ok; {
-		_, ok = p.Take(ctx, tn)
+		_, ok = p.Take(ctx, tn, false)
 	}
 	for b.Loop() {
-		p.Take(ctx, tn)
+		p.Take(ctx, tn, false)
 	}
 	cancel()
 	<-end
--- a/mesh/receiver/quota_test.go
+++ b/mesh/receiver/quota_test.go
@@ -24,7 +24,7 @@
 // fakeLimiter refuses the tenant "over" and records what the receiver does.
 type fakeLimiter struct{ trace []string }
 
-func (l *fakeLimiter) Take(_ context.Context, t *tenant.Tenant) (time.Duration, bool) {
+func (l *fakeLimiter) Take(_ context.Context, t *tenant.Tenant, _ bool) (time.Duration, bool) {
 	l.trace = append(l.trace, "take "+t.Name())
 	return 1500 * time.Millisecond, t.Name() != "over"
 }
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -78,6 +78,8 @@
 type forwarder interface {
 	// Forward sends the request to an endpoint of the rule's service and returns the final answer.
 	Forward(ctx context.Context, v *view.View, r *rule.Rule, c call.Fields) answer.Answer
+	// Elapsed returns how long the caller's earlier attempts at a request took, of which it says how long it waits.
+	Elapsed(r *rule.Rule, timeLeft time.Duration) time.Duration
 }
 
 // viewSource provides the configuration and endpoints for routing.
@@ -115,8 +117,9 @@
 
 // rateLimiter keeps the requests of a tenant within its limit.
 type rateLimiter interface {
-	// Take takes a token for a request, or returns false and after which time the request may come again.
-	Take(ctx context.Context, t *tenant.Tenant) (retryAfter time.Duration, ok bool)
+	// Take takes a token for a request, or returns false and after which time the request may come again. late says that the
+	// request has missed its latency objective.
+	Take(ctx context.Context, t *tenant.Tenant, late bool) (retryAfter time.Duration, ok bool)
 	// Return credits the token of a request that did not run.
 	Return(t *tenant.Tenant)
 }
@@ -376,7 +379,8 @@
 	defer context.AfterFunc(r.ending, cancel)()
 	limited := t != nil && keyHash != nil && t.RatePerSecond() > 0
 	if limited {
-		if wait, ok := r.rateLimiter.Take(ctx, t); !ok {
+		late := r.forwarder.Elapsed(match, timeLeft) >= match.Objective() && match.Objective() > 0
+		if wait, ok := r.rateLimiter.Take(ctx, t, late); !ok {
 			return r.refuse(q, http.StatusTooManyRequests, "tenant "+t.Name()+" is over its limit", wait)
 		}
 	}
--- a/mesh/revalidator/path_test.go
+++ b/mesh/revalidator/path_test.go
@@ -66,11 +66,14 @@
 func (s *surroundings) Config() machine.Config {
 	return machine.Config{Node: "n", Region: "a", Incarnation: 1}
 }
-func (s *surroundings) Take(context.Context, *tenant.Tenant) (time.Duration, bool) { return 0, true }
-func (s *surroundings) Return(*tenant.Tenant)                                      {}
-func (s *surroundings) Service() string                                            { return "own" }
-func (s *surroundings) BodyBuffer() int64                                          { return 1 << 20 }
-func (s *surroundings) ParseRequest(h http.Header) (string, time.Duration)         { return h.Get("Id"), 0 }
+func (s *surroundings) Elapsed(*rule.Rule, time.Duration) time.Duration { return 0 }
+func (s *surroundings) Take(context.Context, *tenant.Tenant, bool) (time.Duration, bool) {
+	return 0, true
+}
+func (s *surroundings) Return(*tenant.Tenant)                              {}
+func (s *surroundings) Service() string                                    { return "own" }
+func (s *surroundings) BodyBuffer() int64                                  { return 1 << 20 }
+func (s *surroundings) ParseRequest(h http.Header) (string, time.Duration) { return h.Get("Id"), 0 }
 func (s *surroundings) SetUpstreamHeaders(h http.Header, c call.Call, _ time.Duration) {
 	h.Set("Id", c.RequestID())
 }
--- a/mesh/spender/account.go
+++ b/mesh/spender/account.go
@@ -15,6 +15,8 @@
 	maxRetryAfter = 8 * time.Second
 	// minRetryAfter is the time in which an owner can grant a token to a node that has none.
 	minRetryAfter = 100 * time.Millisecond
+	// shortFor is how long after a request has found no token late requests leave the tokens to others.
+	shortFor = time.Second
 	// unknownRateFraction is the part of the limit that a node expects before an owner has told it its part.
 	unknownRateFraction = 0.25
 )
@@ -32,8 +34,9 @@
 	used      atomic.Uint64
 	returned  atomic.Uint64 // tokens of requests that did not run and that were not reported yet
 	refused   atomic.Uint64
-	urgent    atomic.Bool // a request waits that no report has named
-	low       atomic.Bool // the last token was taken
+	shortAt   atomic.Int64 // when a request last found no token
+	urgent    atomic.Bool  // a request waits that no report has named
+	low       atomic.Bool  // the last token was taken
 
 	mutex      sync.Mutex
 	waiters    []*Waiter
@@ -141,6 +144,23 @@
 // Refuse counts a refusal and returns when the caller may return: each refused caller gets a time of its own, at the
 // rate of this node's tokens. random is in [0, 1).
 func (a *Account) Refuse(now time.Duration, random float64) time.Duration {
+	a.shortAt.Store(int64(now))
+	return a.refuse(now, random)
+}
+
+// RefuseLate counts a late request, which leaves the tokens to others, and returns when the caller may return.
+func (a *Account) RefuseLate(now time.Duration, random float64) time.Duration {
+	a.arrivals.Add(1)
+	return a.refuse(now, random)
+}
+
+// Short reports whether a request has found no token lately.
+func (a *Account) Short(now time.Duration) bool {
+	at := a.shortAt.Load()
+	return at > 0 && int64(now)-at < int64(shortFor)
+}
+
+func (a *Account) refuse(now time.Duration, random float64) time.Duration {
 	a.refused.Add(1)
 	rate := math.Float64frombits(a.ownRate.Load())
 	if rate <= 0 {
--- a/mesh/spender/spender_test.go
+++ b/mesh/spender/spender_test.go
@@ -145,3 +145,20 @@
 		t.Errorf("Retry-After %v", wait)
 	}
 }
+
+// TestLateRequests answers the load "a tenant sends three times its limit, and refused callers return": tokens that go to those
+// who return late leave others to become late, so that nobody is served in time.
+func TestLateRequests(t *testing.T) {
+	_, a, _ := newNode(t)
+	if a.Short(hour) {
+		t.Error("tokens are short before a request has found none")
+	}
+	a.Refuse(hour, 0)
+	a.RefuseLate(hour+shortFor-time.Millisecond, 0)
+	if !a.Short(hour + shortFor - time.Millisecond) {
+		t.Error("tokens are not short after a refusal")
+	}
+	if a.Short(hour + shortFor) {
+		t.Error("late requests alone keep the tokens short")
+	}
+}
