spender, receiver, revalidator: owners that have run long; requests of a starting node wait for the first proof

After the restart 1,266 requests in half a second were refused since the node had a configuration but no proof yet, and most callers try three times only. Change: owners are chosen among the nodes that have run at least half as long as the oldest. Requests of a node without any proof, and for tokens in the first 3 s of a process, wait as those for the first configuration do.

--- a/mesh/membercounter/membercounter.go
+++ b/mesh/membercounter/membercounter.go
@@ -100,6 +100,15 @@
 	return true
 }
 
+// Age returns how long the process of another node has run, or a shorter time, and of a node that is not known, zero.
+func (c *Counter) Age(address string, now time.Duration) time.Duration {
+	s, ok := c.seen[address]
+	if !ok {
+		return 0
+	}
+	return now - s.startedAt
+}
+
 // Known returns the number of nodes that this one may tell others, or 0.
 func (c *Counter) Known(now time.Duration) int {
 	switch {
--- a/mesh/ratelimiter/ratelimiter.go
+++ b/mesh/ratelimiter/ratelimiter.go
@@ -37,6 +37,10 @@
 	pollInterval = 200 * time.Millisecond
 	// maxPatience bounds the time for which a request waits for a token, above a round trip between regions.
 	maxPatience = 100 * time.Millisecond
+	// startPatience replaces maxPatience while this process is younger than startTime. After a start of the whole mesh the
+	// buckets are empty, and callers that are refused give up after a few attempts.
+	startPatience = 800 * time.Millisecond
+	startTime     = 3 * time.Second
 	// patienceFraction is the largest part of the time left that a request waits for a token.
 	patienceFraction = 4
 	inputQueueSize   = 1024
@@ -168,6 +172,9 @@
 		return 0, true
 	}
 	patience := maxPatience
+	if r.spender.Age(now) < startTime {
+		patience = startPatience
+	}
 	if deadline, set := ctx.Deadline(); set {
 		patience = min(patience, time.Until(deadline)/patienceFraction)
 	}
--- a/mesh/receiver/key_test.go
+++ b/mesh/receiver/key_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -61,13 +62,14 @@
 	} {
 		forwarded := "nothing"
 		f := &fakeParts{plan: c.plan, revoke: c.revoke, stale: c.stale, forward: func(_ context.Context, q call.Fields) answer.Answer {
-			kept := ""
+			var kept []string
 			for _, h := range q.Headers {
 				if h.Name == "Key" || h.Name == "Tenant" {
-					kept += " " + h.Name + "=" + h.Value
+					kept = append(kept, " "+h.Name+"="+h.Value)
 				}
 			}
-			forwarded = fmt.Sprintf("tenant %q, hash %v by version %d, priority %d, headers%s", q.Tenant, len(q.KeyHash) > 0, q.KeyVersion, q.Priority, kept)
+			slices.Sort(kept) // the headers come from a map
+			forwarded = fmt.Sprintf("tenant %q, hash %v by version %d, priority %d, headers%s", q.Tenant, len(q.KeyHash) > 0, q.KeyVersion, q.Priority, strings.Join(kept, ""))
 			return answer.New(answer.Fields{Status: 200, Ran: answer.Yes})
 		}}
 		_, address := startServer(t, f)
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -57,10 +57,10 @@
 	stoppingWait = 50 * time.Millisecond
 	// overloadedWait is the Retry-After of requests that are refused because this node holds too many bodies.
 	overloadedWait = 250 * time.Millisecond
-	// maxPlanWait is how long a request waits for the first configuration of a node that has just started, and
-	// maxPlanWaitFraction how much of its time. All nodes have one some 0.5 s after a start of the whole mesh.
-	maxPlanWait         = 800 * time.Millisecond
-	maxPlanWaitFraction = 0.25
+	// maxStartWait is how long a request waits for the first configuration of a node that has just started, or for the proof
+	// that it is fresh, and maxStartWaitFraction how much of its time. All nodes have one some 0.5 s after a start of the whole mesh.
+	maxStartWait         = 800 * time.Millisecond
+	maxStartWaitFraction = 0.25
 	// minStaleWait and maxStaleWait bound the Retry-After of requests that are refused because the configuration may be out of
 	// date. Nodes read the store about every second then.
 	minStaleWait = 400 * time.Millisecond
@@ -102,6 +102,8 @@
 	Enabled() bool
 	// Fresh reports whether requests with a key may run by a configuration of the version; it must not block.
 	Fresh(version uint64) bool
+	// Proven returns a channel that is closed once this process knows how fresh a configuration is.
+	Proven() <-chan struct{}
 }
 
 // dialect reads and writes the platform's headers of requests and responses.
@@ -361,6 +363,14 @@
 	if match == nil {
 		return r.refuse(q, http.StatusNotFound, "no route matches", 0)
 	}
+	if len(p.Tenants()) > 0 && !match.Public() && !r.proofs.Fresh(p.Version()) {
+		r.awaitStart(ctx, r.proofs.Proven(), timeLeft)
+		v = r.views.View()
+		p = v.Plan()
+		if match = p.Match(q.Host, q.URL.EscapedPath()); match == nil {
+			return r.refuse(q, http.StatusNotFound, "no route matches", 0)
+		}
+	}
 	t, keyHash, refusal := r.authenticate(q, p, match)
 	if refusal != nil {
 		return refusal
@@ -400,24 +410,29 @@
 	return r.response(id, a)
 }
 
-// awaitPlan returns the current view. While the node has no configuration, it waits for one: callers give up after a few
-// attempts, and a refusal would use up one of them.
+// awaitPlan returns the current view. While the node has no configuration, it waits for one.
 func (r *Receiver) awaitPlan(ctx context.Context, timeLeft time.Duration) *view.View {
 	if v := r.views.View(); v.Plan() != nil || r.draining.Load() {
 		return v
 	}
-	wait := maxPlanWait
+	r.awaitStart(ctx, r.views.PlanKnown(), timeLeft)
+	return r.views.View()
+}
+
+// awaitStart waits until ready is closed, for a part of the request's time. Callers give up after a few attempts, and a
+// refusal would use up one of them.
+func (r *Receiver) awaitStart(ctx context.Context, ready <-chan struct{}, timeLeft time.Duration) {
+	wait := maxStartWait
 	if timeLeft > 0 {
-		wait = min(wait, time.Duration(maxPlanWaitFraction*float64(timeLeft)))
+		wait = min(wait, time.Duration(maxStartWaitFraction*float64(timeLeft)))
 	}
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
-	case <-r.views.PlanKnown():
+	case <-ready:
 	case <-ctx.Done():
 	case <-t.C:
 	}
-	return r.views.View()
 }
 
 // authenticate returns the tenant whose key the request has and the hash of the key, or nil if the request needs none, or
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -31,8 +31,16 @@
 	stale     bool // it may be too old
 }
 
-func (f *fakeParts) Enabled() bool     { return f.revoke }
-func (f *fakeParts) Fresh(uint64) bool { return !f.stale }
+// closed is the channel of a node that has started.
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+func (f *fakeParts) Proven() <-chan struct{} { return closed }
+func (f *fakeParts) Enabled() bool           { return f.revoke }
+func (f *fakeParts) Fresh(uint64) bool       { return !f.stale }
 
 func (f *fakeParts) View() *view.View                                { return view.New(f.plan, time.Time{}, nil) }
 func (f *fakeParts) PlanKnown() <-chan struct{}                      { return f.planKnown }
--- a/mesh/receiver/start_test.go
+++ b/mesh/receiver/start_test.go
@@ -39,7 +39,7 @@
 		{"known in time", 2500 * time.Millisecond, 500 * time.Millisecond, true, 500 * time.Millisecond},
 		{"no deadline", 0, 500 * time.Millisecond, true, 500 * time.Millisecond},
 		{"little time left", 800 * time.Millisecond, 500 * time.Millisecond, false, 200 * time.Millisecond},
-		{"never known", 0, time.Hour, false, maxPlanWait},
+		{"never known", 0, time.Hour, false, maxStartWait},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			l := &lateViews{plan: testPlan(), known: make(chan struct{})}
--- a/mesh/revalidator/revalidator.go
+++ b/mesh/revalidator/revalidator.go
@@ -21,7 +21,7 @@
 
 func init() {
 	kernel.Register("revalidator", 48, func() kernel.Part {
-		return &Revalidator{inputs: make(chan any, inputQueueSize), readErrors: make(chan error, 1)}
+		return &Revalidator{inputs: make(chan any, inputQueueSize), readErrors: make(chan error, 1), proven: make(chan struct{})}
 	})
 }
 
@@ -93,8 +93,10 @@
 	started     atomic.Pointer[distributor] // distributor, for requests that arrive before it is set
 	inputs      chan any                    // peerMessage or proof
 	readErrors  chan error
+	proven      chan struct{} // closed when there is a first proof
 
 	// Only the goroutine of run uses the fields below.
+	hasProof     bool // proven is closed
 	refusing     bool // requests with a key are refused
 	refusedSince time.Duration
 	forgotAt     time.Duration
@@ -158,6 +160,9 @@
 	return d != nil && d.fresh(version)
 }
 
+// Proven returns a channel that is closed once this process has a proof.
+func (r *Revalidator) Proven() <-chan struct{} { return r.proven }
+
 // Prove records that a read of the store which began at the time, by this host's boot-time clock, found no configuration
 // newer than the version.
 func (r *Revalidator) Prove(began time.Duration, version uint64) {
@@ -221,6 +226,7 @@
 }
 
 func (r *Revalidator) handleInput(input any) {
+	defer r.announceFirst()
 	switch in := input.(type) {
 	case proof:
 		r.distributor.handleOwn(in)
@@ -234,6 +240,14 @@
 	}
 }
 
+// announceFirst closes proven when there is a first proof.
+func (r *Revalidator) announceFirst() {
+	if !r.hasProof && len(*r.distributor.proofs.Load()) > 0 {
+		r.hasProof = true
+		close(r.proven)
+	}
+}
+
 func (r *Revalidator) tick(ctx context.Context) {
 	p := r.cluster.View().Plan()
 	version := uint64(0)
--- a/mesh/revalidator/revalidator_test.go
+++ b/mesh/revalidator/revalidator_test.go
@@ -78,7 +78,7 @@
 
 func newFakeNode(address string, revoke time.Duration) *fakeNode {
 	n := &fakeNode{address: address}
-	n.Revalidator = &Revalidator{Revoke: revoke, inputs: make(chan any, inputQueueSize), readErrors: make(chan error, 1)}
+	n.Revalidator = &Revalidator{Revoke: revoke, proven: make(chan struct{}), inputs: make(chan any, inputQueueSize), readErrors: make(chan error, 1)}
 	n.log, n.store, n.cluster = slog.New(slog.NewTextHandler(n, nil)), n, n
 	d := newDistributor(address, "a", 1, revoke, clock.Clock{}.Now)
 	d.random, d.send, d.nodes = func() float64 { return 0.5 }, n.send, n.Nodes
@@ -129,7 +129,7 @@
 
 // TestOff guards against messages, calls to the store and refusals where --revoke is not set.
 func TestOff(t *testing.T) {
-	r := &Revalidator{inputs: make(chan any, 1), readErrors: make(chan error, 1), log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	r := &Revalidator{proven: make(chan struct{}), inputs: make(chan any, 1), readErrors: make(chan error, 1), log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	if end, err := r.Start(t.Context(), nil); end != nil || err != nil {
 		t.Errorf("Start returns %v, %v", end, err)
 	}
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -41,6 +41,9 @@
 	// changeSpread is the time over which the nodes change to an owner that has come back. The former one goes on
 	// meanwhile, so the tenants of the shard never have to do without most of their shares.
 	changeSpread = 5 * time.Second
+	// seniorSlack is added to the age of each node that may be an owner, so that nodes agree on the candidates after a start of
+	// the whole mesh, when ages are as long as the time that it takes to learn them.
+	seniorSlack = 2 * time.Second
 	// limitedFor is the time without a refusal after which a tenant is not limited any more.
 	limitedFor = 5 * time.Second
 )
@@ -150,6 +153,9 @@
 	return a
 }
 
+// Age returns how long this process has run.
+func (s *Spender) Age(now time.Duration) time.Duration { return now - s.startedAt }
+
 // Existing returns the account of the tenant with the name, or nil.
 func (s *Spender) Existing(name string) *Account { return s.accounts.Load().byName[name] }
 
@@ -180,13 +186,14 @@
 func (s *Spender) SetNodes(alive []string, now time.Duration) []Change {
 	maps.DeleteFunc(s.avoided, func(_ string, until time.Duration) bool { return until <= now })
 	together := now < s.startedAt+s.terms.Share && s.members.StartedTogether()
+	candidates := s.seniors(alive, now)
 	var changes []Change
 	for i := range s.loans {
 		l := &s.loans[i]
 		if together && !l.lent && l.freeAt == s.startedAt+s.terms.Share {
 			l.freeAt = now
 		}
-		best := s.chooseOwner(uint8(i), alive)
+		best := s.chooseOwner(uint8(i), candidates)
 		if best == l.owner.address {
 			l.next, l.withdrawn, l.withdrawal = "", false, 0
 			continue
@@ -219,19 +226,36 @@
 	return !l.lent && now >= l.freeAt
 }
 
-// chooseOwner returns the owner of a shard by rendezvous hashing.
-func (s *Spender) chooseOwner(n uint8, alive []string) string {
-	score := func(address string) uint64 { return xxhash.Sum64String(address + " " + string('a'+rune(n))) }
-	best := s.self
-	if s.avoided[s.self] > 0 && len(alive) > 0 {
-		best = ""
+// seniors returns the nodes that may be owners: those that do not stop and have run at least half as long as the oldest of
+// them. With a node that has just started as the owner, most requests would be refused until the shares are lent to it.
+func (s *Spender) seniors(alive []string, now time.Duration) []string {
+	ages := map[string]time.Duration{}
+	if s.avoided[s.self] == 0 {
+		ages[s.self] = now - s.startedAt
 	}
 	for _, address := range alive {
-		if s.avoided[address] == 0 && (best == "" || score(address) > score(best)) {
+		if s.avoided[address] == 0 {
+			ages[address] = s.members.Age(address, now)
+		}
+	}
+	oldest := time.Duration(0)
+	for _, age := range ages {
+		oldest = max(oldest, age)
+	}
+	maps.DeleteFunc(ages, func(_ string, age time.Duration) bool { return age+seniorSlack < oldest/2 })
+	return slices.Collect(maps.Keys(ages))
+}
+
+// chooseOwner returns the owner of a shard by rendezvous hashing among the candidates, or this node if there is none.
+func (s *Spender) chooseOwner(n uint8, candidates []string) string {
+	score := func(address string) uint64 { return xxhash.Sum64String(address + " " + string('a'+rune(n))) }
+	best := s.self
+	for i, address := range candidates {
+		if i == 0 || score(address) > score(best) {
 			best = address
 		}
 	}
-	return cmp.Or(best, s.self)
+	return best
 }
 
 func (s *Spender) changeOwner(l *loan, owner string, now time.Duration) {
--- a/mesh/spender/spender_test.go
+++ b/mesh/spender/spender_test.go
@@ -1,6 +1,8 @@
 package spender
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,3 +164,33 @@
 		t.Error("late requests alone keep the tokens short")
 	}
 }
+
+// TestSeniors guards against owners that have just started: with one that joins, most requests of a shard would be refused
+// until all nodes have lent it their shares, and after a start of the whole mesh nodes must agree on the owners.
+func TestSeniors(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name string
+		own  time.Duration // age of this node's process
+		ages map[string]time.Duration
+		want string
+	}{
+		{"one has just started", 60 * second, map[string]time.Duration{"b": 62 * second, "c": second}, "a b"},
+		{"this one has just started", second, map[string]time.Duration{"b": 62 * second, "c": 61 * second}, "b c"},
+		{"all have just started", 2 * second, map[string]time.Duration{"b": 1600 * time.Millisecond, "c": 100 * time.Millisecond}, "a b c"},
+		{"replaced in turn", 90 * second, map[string]time.Duration{"b": 60 * second, "c": 30 * second}, "a b"},
+		{"alone", second, nil, "a"},
+	} {
+		s := New(bounds, "a", 1, hour-c.own)
+		var alive []string
+		for address, age := range c.ages {
+			s.Members().See(address, false, age, hour)
+			alive = append(alive, address)
+		}
+		got := s.seniors(alive, hour)
+		slices.Sort(got)
+		if strings.Join(got, " ") != c.want {
+			t.Errorf("%s: owners among %v, want %s", c.name, got, c.want)
+		}
+	}
+}
