--- a/mesh/answer/answer.go
+++ b/mesh/answer/answer.go
@@ -7,6 +7,7 @@
 
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/crashcount"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 // Ran states whether the upstream ran the call.
@@ -40,6 +41,7 @@
 	SentAt           int64            `cbor:"12,keyasint,omitempty"` // milliseconds since the link's start, by the sender's clock
 	Leaving          bool             `cbor:"13,keyasint,omitempty"` // the upstream has said that it leaves
 	CrashCount       crashcount.Count `cbor:"14,keyasint,omitempty"` // of the request, after the call
+	Hold             *holder.Hold     `cbor:"-"`                     // the memory of a large body, or nil
 }
 
 // New returns an answer with the fields, whose slices must not be changed afterwards.
@@ -49,7 +51,12 @@
 func (a Answer) MarshalCBOR() ([]byte, error) { return cbor.Marshal(a.f) }
 
 // MarshalTo appends the answer to the buffer, encoded as by MarshalCBOR.
-func (a Answer) MarshalTo(b *bytes.Buffer) error { return cbor.MarshalToBuffer(a.f, b) }
+func (a Answer) MarshalTo(b *bytes.Buffer) error {
+	if len(a.f.Body) > holder.CountedFrom {
+		return a.appendLarge(b)
+	}
+	return cbor.MarshalToBuffer(a.f, b)
+}
 
 // UnmarshalCBOR decodes an answer that MarshalCBOR encoded.
 func (a *Answer) UnmarshalCBOR(data []byte) error { return cbor.Unmarshal(data, &a.f) }
@@ -97,5 +104,8 @@
 // CrashCount returns how often the request has crashed upstreams, after the call.
 func (a Answer) CrashCount() crashcount.Count { return a.f.CrashCount }
 
+// Hold returns the memory of the body, which whoever ends the answer's way releases, or nil.
+func (a Answer) Hold() *holder.Hold { return a.f.Hold }
+
 // Fields returns a copy of the values, from which a modified answer can be built.
 func (a Answer) Fields() Fields { return a.f }
--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -15,6 +15,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 const (
@@ -76,13 +77,12 @@
 	Address  string   // IP:PORT of the upstream; set before use
 	Dialect  Dialect  // set before use
 	Observer Observer // may be nil; set before use
-	// MaxBuffered bounds the bytes of all bodies that are being read, as an upstream in trouble may send bytes without end
-	// on all of its connections; set before use.
-	MaxBuffered int64
+	// Holder bounds the memory of large bodies, from their first byte until the answer's Hold is released, as an upstream
+	// in trouble may send bytes without end on all of its connections; set before use.
+	Holder *holder.Holder
 
-	idle     atomic.Pointer[idleConnection]
-	opened   atomic.Int64
-	buffered atomic.Int64 // bytes of bodies that are being read, see countedReader
+	idle   atomic.Pointer[idleConnection]
+	opened atomic.Int64
 }
 
 // Opened returns the number of connections opened so far.
@@ -113,7 +113,7 @@
 	}
 	start := time.Now()
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	a, reusable := x.roundTrip(conn, c, remaining(ctx))
+	a, reusable := x.roundTrip(ctx, conn, c, remaining(ctx))
 	if !stop() {
 		reusable = false
 		if a.Ran() != answer.Yes {
@@ -189,7 +189,7 @@
 }
 
 // roundTrip writes the call and reads its response; reusable reports whether the connection can be used again.
-func (x *Exchanger) roundTrip(conn *connection, c call.Call, timeLeft time.Duration) (a answer.Answer, reusable bool) {
+func (x *Exchanger) roundTrip(ctx context.Context, conn *connection, c call.Call, timeLeft time.Duration) (a answer.Answer, reusable bool) {
 	conn.sentAt = time.Now()
 	conn.expiresAt = conn.sentAt.Add(defaultIdleTimeout)
 	written := make(chan error, 1)
@@ -200,7 +200,7 @@
 	}
 	for range maxResponsesRead {
 		var stray bool
-		a, reusable, stray = x.readResponse(conn, c)
+		a, reusable, stray = x.readResponse(ctx, conn, c)
 		if !stray {
 			break
 		}
@@ -246,16 +246,21 @@
 }
 
 // readResponse returns one response; stray reports that it answers another request.
-func (x *Exchanger) readResponse(conn *connection, c call.Call) (a answer.Answer, reusable, stray bool) {
+func (x *Exchanger) readResponse(ctx context.Context, conn *connection, c call.Call) (a answer.Answer, reusable, stray bool) {
 	conn.bounds.left = maxOverheadBytes
 	r, err := http.ReadResponse(conn.reader, &http.Request{Method: c.Method()})
 	if err != nil {
 		return readFailure(err), false, false
 	}
-	body, err := x.readBody(conn, r)
+	body, hold, err := x.readBody(ctx, conn, r)
 	if err != nil {
 		return readFailure(err), false, false
 	}
+	defer func() {
+		if a.Ran() != answer.Yes {
+			hold.Release()
+		}
+	}()
 	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 	reusable = framed && !r.Close && conn.reader.Buffered() == 0
 	conn.expiresAt = time.Now().Add(idleTimeout(r.Header.Get("Keep-Alive")))
@@ -288,10 +293,13 @@
 	case r.StatusCode < 300 && !x.Dialect.Signed(r.Header):
 		return invalidResponse(), false, false
 	}
-	return answer.New(answer.Fields{Status: r.StatusCode, Headers: endToEndHeaders(r.Header), Body: body, Ran: answer.Yes}), reusable, false
+	return answer.New(answer.Fields{Status: r.StatusCode, Headers: endToEndHeaders(r.Header), Body: body, Hold: hold, Ran: answer.Yes}), reusable, false
 }
 
 func readFailure(err error) answer.Answer {
+	if errors.Is(err, errNoRoom) {
+		return answer.New(answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: holder.Reason})
+	}
 	reason := ReasonConnectionLost
 	var n net.Error
 	if !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &n) {
--- a/mesh/exchanger/exchanger_test.go
+++ b/mesh/exchanger/exchanger_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,10 +15,11 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 func newExchanger(address string) *Exchanger {
-	return &Exchanger{Address: address, Dialect: fakeDialect{}, MaxBuffered: 32 << 20}
+	return &Exchanger{Address: address, Dialect: fakeDialect{}, Holder: holder.New(32 << 20)}
 }
 
 // fakeDialect uses short header names.
@@ -184,10 +184,10 @@
 	for _, c := range cases {
 		x := newExchanger("")
 		upstream := &endlessConn{begin: c.begin, repeat: c.repeat, most: 4 * mostBytes}
-		a, reusable := x.roundTrip(newConnection(upstream), request("r"), time.Minute)
+		a, reusable := x.roundTrip(t.Context(), newConnection(upstream), request("r"), time.Minute)
 		fmt.Fprintf(&out, "%-22s ran %s, reason %s, kept %v, most bytes exceeded %v\n", c.name, a.Ran(), a.Reason(), reusable, upstream.read > mostBytes)
-		if n := x.buffered.Load(); n != 0 {
-			t.Errorf("%s: %d bytes still count as buffered", c.name, n)
+		if n := x.Holder.Used(); n != 0 {
+			t.Errorf("%s: %d bytes are still held", c.name, n)
 		}
 	}
 	goldie.New(t).Assert(t, "endless", []byte(out.String()))
@@ -197,35 +197,47 @@
 // and against usual responses that fail beside them.
 func TestEndlessOnAllConnections(t *testing.T) {
 	const most = 14 << 20 // an eighth of the smallest host's memory
-	total := &atomic.Int64{}
-	var readers []*countedReader
-	failed := 0
+	x := newExchanger("")
+	x.Holder = holder.New(most)
+	var holds []*holder.Hold
+	read, failed := 0, 0
 	for range 12 {
-		r := &countedReader{Reader: strings.NewReader(strings.Repeat("x", maxResponseBytes)), total: total, most: most}
-		readers = append(readers, r)
-		if _, err := io.Copy(io.Discard, r); err != nil {
+		r := &http.Response{ContentLength: -1, Body: io.NopCloser(&countingReader{strings.NewReader(strings.Repeat("x", maxResponseBytes)), &read})}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		_, hold, err := x.readBody(ctx, newConnection(nil), r)
+		cancel()
+		holds = append(holds, hold)
+		if err != nil {
 			failed++
 		}
 	}
-	inMemory := int64(0)
-	for _, r := range readers {
-		inMemory += r.read
-	}
-	if failed != 11 || inMemory > most+12*(freeResponseBytes+32<<10) {
-		t.Errorf("%d of 12 bodies failed, with %d bytes in memory", failed, inMemory)
+	if failed != 11 || x.Holder.Used() > most || read > most+12*(holder.CountedFrom+32<<10) {
+		t.Errorf("%d of 12 bodies failed, with %d bytes held and %d read", failed, x.Holder.Used(), read)
 	}
-	usual := &countedReader{Reader: strings.NewReader(strings.Repeat("x", freeResponseBytes)), total: total, most: most}
-	if _, err := io.Copy(io.Discard, usual); err != nil {
-		t.Errorf("a usual body fails: %v", err)
+	usual := &http.Response{ContentLength: -1, Body: io.NopCloser(strings.NewReader(strings.Repeat("x", holder.CountedFrom)))}
+	if body, _, err := x.readBody(t.Context(), newConnection(nil), usual); err != nil || len(body) != holder.CountedFrom {
+		t.Errorf("a usual body fails: %d bytes, %v", len(body), err)
 	}
-	for _, r := range readers {
-		total.Add(-r.counted())
+	for _, hold := range holds {
+		hold.Release()
 	}
-	if total.Load() != 0 {
-		t.Errorf("%d bytes are counted at the end", total.Load())
+	if n := x.Holder.Used(); n != 0 {
+		t.Errorf("%d bytes are held at the end", n)
 	}
 }
 
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	io.Reader
+	read *int
+}
+
+func (r *countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	*r.read += n
+	return n, err
+}
+
 // TestRepeatedRefusals guards against REFUSED and TWICE: an upstream that writes an earlier refusal once more on a kept
 // connection, where the response to the next request is due. That request may run, so it must not be reported as not run.
 func TestRepeatedRefusals(t *testing.T) {
@@ -455,3 +467,53 @@
 		}
 	}
 }
+
+// TestBodyMemory guards against a large body that is read although there is no memory for it, and against one that holds
+// more than it has.
+func TestBodyMemory(t *testing.T) {
+	var out strings.Builder
+	for _, c := range []struct {
+		name     string
+		length   int64 // announced, or -1
+		size     int
+		held     int64 // by others, of 18 MB
+		complete bool
+	}{
+		{"a small body in a full node", -1, holder.CountedFrom, 18 << 20, true},
+		{"a length, room", 8 << 20, 8 << 20, 10 << 20, true},
+		{"a length, no room", 8 << 20, 8 << 20, 11 << 20, false},
+		{"a length, cut short", 8 << 20, 1 << 20, 0, false},
+		{"a length above the limit", 8<<20 + 1, 8<<20 + 1, 0, false},
+		{"no length, 200 KB", -1, 200 << 10, 10 << 20, true},
+		{"no length, 3 MB", -1, 3 << 20, 10 << 20, true},
+		{"no length, the largest", -1, 8 << 20, 10 << 20, true},
+		{"no length, above the limit", -1, 8<<20 + 1, 0, false},
+		{"no length, no room to grow", -1, 3 << 20, 11 << 20, false},
+	} {
+		x := newExchanger("")
+		x.Holder = holder.New(18 << 20)
+		others := x.Holder.Force(c.held)
+		var stream io.Reader = strings.NewReader(strings.Repeat("x", c.size))
+		if c.length >= 0 {
+			stream = io.MultiReader(stream, failingReader{})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		body, hold, err := x.readBody(ctx, newConnection(nil), &http.Response{ContentLength: c.length, Body: io.NopCloser(stream)})
+		cancel()
+		if (err == nil) != c.complete || err == nil && len(body) != c.size {
+			t.Errorf("%s: %d bytes, %v", c.name, len(body), err)
+		}
+		fmt.Fprintf(&out, "%s: %d bytes held, %v\n", c.name, x.Holder.Used()-c.held, err)
+		hold.Release()
+		others.Release()
+		if n := x.Holder.Used(); n != 0 {
+			t.Errorf("%s: %d bytes are held at the end", c.name, n)
+		}
+	}
+	goldie.New(t).Assert(t, "body-memory", []byte(out.String()))
+}
+
+// failingReader is a connection that breaks.
+type failingReader struct{}
+
+func (failingReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/mesh/forwarder/decide.go
+++ b/mesh/forwarder/decide.go
@@ -7,6 +7,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/crashcount"
 	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 // action is the next step after an answer.
@@ -45,7 +46,7 @@
 		return deliver
 	}
 	tooShort := float64(s.timeLeft) < minRunFraction*float64(s.expectedServiceTime)
-	if tooShort || !s.hasUntried || s.sends >= maxSends || s.crashCount.Quarantined() || a.Reason() == crashcount.Refused {
+	if tooShort || !s.hasUntried || s.sends >= maxSends || s.crashCount.Quarantined() || a.Reason() == crashcount.Refused || foundNoRoom(a) {
 		return finalAction(a)
 	}
 	if a.Ran() == answer.No && !reachedUpstream(a) {
@@ -57,6 +58,10 @@
 	return retry
 }
 
+// foundNoRoom reports whether the call may have run and its answer was dropped as a node holds too many bodies. Another
+// send would only add to them.
+func foundNoRoom(a answer.Answer) bool { return a.Ran() == answer.Maybe && a.Reason() == holder.Reason }
+
 func finalAction(a answer.Answer) action {
 	if a.Ran() == answer.Yes {
 		return deliver
@@ -75,7 +80,7 @@
 	case a.Ran() == answer.Yes:
 		return a.Status() >= 500
 	case a.Ran() == answer.Maybe:
-		return a.Reason() != exchanger.ReasonCancelled
+		return a.Reason() != exchanger.ReasonCancelled && a.Reason() != holder.Reason
 	}
 	return a.Reason() == exchanger.ReasonShed || a.Reason() == exchanger.ReasonWrongInstance || a.Reason() == exchanger.ReasonUnreachable
 }
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -19,8 +19,10 @@
 	"wisteriaspoke.example/mesh/estimator"
 	"wisteriaspoke.example/mesh/exchanger"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/rule"
+	"wisteriaspoke.example/mesh/sizer"
 	"wisteriaspoke.example/mesh/target"
 	"wisteriaspoke.example/mesh/view"
 )
@@ -94,6 +96,12 @@
 	IsMoveTarget(service, version string) bool
 }
 
+// memoryLimiter bounds the memory that answers take.
+type memoryLimiter interface {
+	// Holder returns the holder of large bodies.
+	Holder() *holder.Holder
+}
+
 // Forwarder sends requests to endpoints.
 type Forwarder struct {
 	RepeatRatio   float64       `help:"Repeats that the whole mesh may send to a service for each request." default:"0.2" env:"WISTERIASPOKE_REPEAT_RATIO"`
@@ -106,6 +114,8 @@
 	runner      runner
 	observer    observer
 	crashes     crashCounter
+	holder      *holder.Holder
+	sizes       sizer.Sizer // of the answers to callers of this node
 	random      func(int) int
 	estimator   *estimator.Estimator
 	budgets     sync.Map // service -> *allowance.Budget
@@ -138,6 +148,11 @@
 	if f.crashes, err = kernel.Need[crashCounter](k); err != nil {
 		return nil, err
 	}
+	memory, err := kernel.Need[memoryLimiter](k)
+	if err != nil {
+		return nil, err
+	}
+	f.holder, f.sizes.From = memory.Holder(), holder.CountedFrom
 	f.log = k.Log
 	return nil, nil
 }
@@ -170,6 +185,9 @@
 	if q.crashCount, refusedFor = f.crashes.Assess(call.New(c)); refusedFor > 0 {
 		return f.fail(q, refusal(crashcount.Refused, refusedFor))
 	}
+	if !f.holder.Fits(f.sizes.Expected(r.Name())) {
+		return f.fail(q, refusal(holder.Reason, holder.RetryAfter))
+	}
 	budget := f.budget(q.service)
 	budget.Deposit()
 	targets := v.Pool(q.service).PickVersion(f.random)
@@ -208,6 +226,7 @@
 		q.recordOutcome(a)
 		switch act {
 		case deliver:
+			f.sizes.Observe(r.Name(), int64(len(a.Body())))
 			f.logAnswered(q, a, timeLeft)
 			return a
 		case giveUp:
@@ -332,7 +351,7 @@
 	bad := endpointFailed(a)
 	switch {
 	case a.Ran() == answer.No:
-		if couldWait && a.Reason() != crashcount.Refused {
+		if couldWait && a.Reason() != crashcount.Refused && a.Reason() != holder.Reason {
 			wait := time.Duration(a.RetryAfter()) * time.Millisecond
 			g.BackOff(q.rule.Bulk(), now.Add(min(maxBackoff, max(minBackoff, wait/2))))
 		}
@@ -358,7 +377,7 @@
 	if a.ServiceTimeRatio() > 0 {
 		g.SetServiceTimeRatio(float64(a.ServiceTimeRatio()) / 1000)
 	}
-	if a.Ran() == answer.No && a.Reason() != exchanger.ReasonShed || a.Reason() == exchanger.ReasonCancelled {
+	if a.Ran() == answer.No && a.Reason() != exchanger.ReasonShed || a.Reason() == exchanger.ReasonCancelled || a.Reason() == holder.Reason {
 		return
 	}
 	shed := a.Reason() == exchanger.ReasonShed
@@ -425,7 +444,8 @@
 	if a.Ran() == answer.No && fields.RetryAfter == 0 {
 		fields.RetryAfter = defaultRetryAfter.Milliseconds()
 	}
-	fields.Headers, fields.Body = nil, nil
+	a.Hold().Release()
+	fields.Headers, fields.Body, fields.Hold = nil, nil, nil
 	a = answer.New(fields)
 	f.log.Warn("request failed", append(q.logAttributes(a), "reason", a.Reason(), "wait", fields.RetryAfter)...)
 	return a
--- a/mesh/forwarder/hedge.go
+++ b/mesh/forwarder/hedge.go
@@ -102,7 +102,9 @@
 	q.countSend(a)
 	if a.Ran() == answer.Yes && a.Status() < http.StatusInternalServerError {
 		loser.cancel()
-		q.countSend(<-loser.done)
+		b := <-loser.done
+		q.countSend(b)
+		b.Hold().Release()
 		return a, winner.target
 	}
 	q.recordOutcome(a)
--- a/mesh/linker/buffer.go
+++ b/mesh/linker/buffer.go
@@ -8,6 +8,9 @@
 // frameOverhead is the buffer space for a frame beside its body, so that most frames need no second allocation.
 const frameOverhead = 1 << 10
 
+// headerOverhead is the most that the encoding of a header has beside its name and its value.
+const headerOverhead = 12
+
 // frameBuffers is the pool of buffers of written frames. A buffer has one owner at a time: the goroutine that encodes
 // the frame, then the link's writer, which releases it.
 var frameBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
--- a/mesh/linker/frame.go
+++ b/mesh/linker/frame.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 // frameType is the kind of a frame and determines its body.
@@ -39,6 +40,8 @@
 	Generation uint64 // of the link; zero in a hello only
 	ID         uint64 // of the call on this link; zero in frames that concern no call
 	Body       rawBody
+
+	hold *holder.Hold // the memory of a frame that was read into a buffer of its own, whose parts may be kept, or nil
 }
 
 // cborNull is the body of a frame without one.
--- a/mesh/linker/hello.go
+++ b/mesh/linker/hello.go
@@ -138,7 +138,7 @@
 
 func receiveHandshake(c *websocket.Conn, t frameType, generation uint64, body any) error {
 	c.SetReadDeadline(time.Now().Add(handshakeTimeout))
-	data, err := readMessage(c, maxHelloBytes, func() {}, new(bytes.Buffer))
+	data, err := readMessage(c, maxHelloBytes, func() {}, new(bytes.Buffer), nil)
 	if err != nil {
 		return err
 	}
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -12,6 +12,7 @@
 	"github.com/fasthttp/websocket"
 
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/timekeeper"
 )
 
@@ -41,13 +42,15 @@
 type outgoingFrame struct {
 	data      []byte
 	buffer    *bytes.Buffer // the pooled buffer of data, which the writer releases, or nil
+	hold      *holder.Hold  // the memory of a large answer in data, or nil
 	call      *pendingCall  // the call that the frame carries, or nil
 	endsCalls bool          // set on typeClosed, after which no call may be written
 	ping      bool          // data is the payload of a WebSocket ping instead of a frame
 }
 
-// release returns the buffer to the pool; the writer calls it when it no longer needs data.
+// release returns the buffer to the pool and the memory to its holder; the writer calls it when it no longer needs data.
 func (o outgoingFrame) release() {
+	o.hold.Release()
 	if o.buffer != nil {
 		releaseFrameBuffer(o.buffer)
 	}
@@ -144,12 +147,25 @@
 	<-writeEnd
 	l.closing.Store(true)
 	close(l.ended)
+	l.releaseQueued()
 	if errors.Is(cause, errFlushed) || websocket.IsCloseError(cause, websocket.CloseNormalClosure, websocket.CloseGoingAway) {
 		return nil
 	}
 	return cause
 }
 
+// releaseQueued releases the frames that are not written any more.
+func (l *link) releaseQueued() {
+	for {
+		select {
+		case o := <-l.queue:
+			o.release()
+		default:
+			return
+		}
+	}
+}
+
 // supervise returns the first reason to end the link. Each goroutine's result can still be received once afterwards.
 func (l *link) supervise(ctx context.Context, readEnd, writeEnd chan error) error {
 	idle := time.NewTicker(idleCheckInterval)
@@ -317,8 +333,9 @@
 }
 
 // readMessage returns one binary message of at most limit bytes, counted after decompression; the result is valid
-// until the buffer's next use.
-func readMessage(c *websocket.Conn, limit int64, onRead func(), buffer *bytes.Buffer) ([]byte, error) {
+// until the buffer's next use. Unless claim is nil, it is called with the beginning of a large message and returns the
+// bytes that the message is expected to have. If it returns false, the message is dropped and the result is errDropped.
+func readMessage(c *websocket.Conn, limit int64, onRead func(), buffer *bytes.Buffer, claim func(begin []byte) (int, bool)) ([]byte, error) {
 	c.SetReadLimit(limit)
 	kind, r, err := c.NextReader()
 	if err != nil {
@@ -328,13 +345,36 @@
 		return nil, malformed("text message")
 	}
 	buffer.Reset()
-	n, err := buffer.ReadFrom(io.LimitReader(notifyingReader{r, onRead}, limit+1))
+	first := limit
+	if claim != nil {
+		first = min(limit, holder.CountedFrom)
+	}
+	stream := &io.LimitedReader{R: notifyingReader{r, onRead}, N: first + 1}
+	n, err := buffer.ReadFrom(stream)
+	dropped := false
+	if err == nil && n > first && first < limit {
+		size, ok := claim(buffer.Bytes())
+		dropped = !ok
+		stream.N = limit + 1 - n
+		var rest int64
+		if dropped {
+			rest, err = io.Copy(io.Discard, stream)
+		} else {
+			// Without some room behind the message, ReadFrom would double the buffer.
+			buffer.Grow(max(0, size-buffer.Len()) + bytes.MinRead)
+			rest, err = buffer.ReadFrom(stream)
+		}
+		n += rest
+	}
 	if err != nil {
 		return nil, readError(err)
 	}
 	if n > limit {
 		return nil, readError(websocket.ErrReadLimit)
 	}
+	if dropped {
+		return nil, errDropped
+	}
 	return buffer.Bytes(), nil
 }
 
@@ -366,25 +406,55 @@
 		l.endRoundTrip(payload)
 		return nil
 	})
+	var large *largeFrame
+	claim := func(begin []byte) (int, bool) {
+		large = l.claimFrame(ctx, begin)
+		return large.size, large.ok
+	}
+	if !l.purpose.carriesCalls() {
+		claim = nil
+	}
 	buffer := new(bytes.Buffer)
 	for {
-		if buffer.Cap() > maxReusedBuffer {
-			buffer = new(bytes.Buffer)
+		large = nil
+		data, err := readMessage(l.conn, l.maxFrameBytes(), l.markReceived, buffer, claim)
+		switch {
+		case errors.Is(err, errDropped):
+			l.failCall(large.id)
+		case err == nil:
+			err = l.decodeAndHandle(ctx, data, large)
 		}
-		data, err := readMessage(l.conn, l.maxFrameBytes(), l.markReceived, buffer)
-		if err != nil {
-			return err
+		if large != nil {
+			if err != nil {
+				large.hold.Release()
+			}
+			// The answer keeps a part of the buffer.
+			buffer = new(bytes.Buffer)
+		} else if buffer.Cap() > maxReusedBuffer {
+			buffer = new(bytes.Buffer)
 		}
-		// The frame's body is a part of the buffer; handleFrame decodes it into copies before the next read.
-		f, err := decodeFrame(data)
-		if err != nil {
+		if err != nil && !errors.Is(err, errDropped) {
 			return err
 		}
-		if f.Generation != l.generation {
-			return malformed("frame of another generation")
-		}
-		if err := l.handleFrame(ctx, f); err != nil {
-			return err
+	}
+}
+
+// decodeAndHandle processes one frame; large is nil unless the frame is a large one.
+func (l *link) decodeAndHandle(ctx context.Context, data []byte, large *largeFrame) error {
+	// The frame's body is a part of the buffer; handleFrame decodes it into copies before the next read, unless the frame
+	// is a large one.
+	f, err := decodeFrame(data)
+	if err != nil {
+		return err
+	}
+	if f.Generation != l.generation {
+		return malformed("frame of another generation")
+	}
+	if large != nil {
+		f.hold = large.hold
+		if f.Type != typeAnswer {
+			defer f.hold.Release()
 		}
 	}
+	return l.handleFrame(ctx, f)
 }
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -19,6 +19,7 @@
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/event"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/machine"
 	"wisteriaspoke.example/mesh/message"
@@ -104,6 +105,8 @@
 	server          server
 	intake          intake
 	outflow         outflow
+	holder          *holder.Holder
+	encoding        sync.Mutex // held while a large answer is encoded, as its body is then in memory twice
 	injector        injector
 	messageHandlers []messageHandler
 	node            string
@@ -170,6 +173,7 @@
 	l.messageHandlers = kernel.All[messageHandler](k)
 	l.intake = partOr[intake](k, unlimited{})
 	l.outflow = partOr[outflow](k, unlimited{})
+	l.holder = partOr[bodyHolder](k, unlimited{}).Holder()
 	if l.injector, err = kernel.Need[injector](k); err != nil {
 		return nil, err
 	}
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/encoder"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 // handleFrame processes one frame; an error closes the link.
@@ -53,15 +55,25 @@
 // deliverAnswer passes an answer to the call with its identifier, if that call is still pending.
 func (l *link) deliverAnswer(f frame) error {
 	var a answer.Answer
-	if err := a.UnmarshalCBOR(f.Body); err != nil {
+	decode := a.UnmarshalCBOR
+	if f.hold != nil {
+		decode = a.UnmarshalShared
+	}
+	if err := decode(f.Body); err != nil {
 		return fault.Wrap(fault.Invalid, err, "malformed answer", "check that both nodes run compatible releases")
 	}
 	l.timekeeper.Observe(a.SentAt(), time.Now())
 	p, ok := l.pendingCalls.LoadAndDelete(f.ID)
 	if !ok {
 		lateAnswers.Inc(1)
+		f.hold.Release()
 		return nil
 	}
+	if f.hold != nil {
+		held := a.Fields()
+		held.Hold = f.hold
+		a = answer.New(held)
+	}
 	p.(*pendingCall).done <- a
 	return nil
 }
@@ -118,6 +130,7 @@
 	a := l.serveSafely(ctx, c)
 	if err := l.owner.outflow.Send(ctx, c, reservation, len(a.Body())); err != nil {
 		// Nobody waits for the answer any more.
+		a.Hold().Release()
 		return answer.New(answer.Fields{Status: http.StatusGatewayTimeout, Ran: answer.Maybe, Reason: reasonUnsent})
 	}
 	return a
@@ -156,14 +169,35 @@
 	stamped := a.Fields()
 	stamped.SentAt = l.timekeeper.Stamp(time.Now())
 	a = answer.New(stamped)
-	buffer := newFrameBuffer(len(a.Body()))
-	if err := appendFrame(buffer, typeAnswer, l.generation, id, a); err != nil || buffer.Len() > maxCallBytes {
+	hold := a.Hold()
+	buffer, err := l.encodeAnswer(id, a)
+	if err != nil || buffer.Len() > maxCallBytes {
+		hold.Release()
+		hold = nil
 		substitute := answer.New(answer.Fields{Status: 502, Ran: answer.Maybe, Reason: "large", Retried: a.Retried()})
 		buffer = newFrameBuffer(0)
 		must(buffer, appendFrame(buffer, typeAnswer, l.generation, id, substitute))
 	}
 	select {
-	case l.queue <- outgoingFrame{data: buffer.Bytes(), buffer: buffer}:
+	case l.queue <- outgoingFrame{data: buffer.Bytes(), buffer: buffer, hold: hold}:
 	case <-ctx.Done():
+		hold.Release()
+	}
+}
+
+// encodeAnswer returns the frame of an answer in a buffer that the caller owns.
+func (l *link) encodeAnswer(id uint64, a answer.Answer) (*bytes.Buffer, error) {
+	size := len(a.Body())
+	if size > holder.CountedFrom {
+		l.owner.encoding.Lock()
+		defer l.owner.encoding.Unlock()
+		for _, line := range a.Headers() {
+			// Without room for the headers the buffer would be doubled.
+			size += len(line.Name) + len(line.Value) + headerOverhead
+		}
 	}
+	buffer := newFrameBuffer(size)
+	err := appendFrame(buffer, typeAnswer, l.generation, id, a)
+	a.Hold().Copied(int64(len(a.Body())))
+	return buffer, err
 }
--- a/mesh/pipeliner/pipeliner.go
+++ b/mesh/pipeliner/pipeliner.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/plan"
 	"wisteriaspoke.example/mesh/prober"
 )
@@ -47,13 +48,19 @@
 
 // Pipeliner serves one connection.
 type Pipeliner struct {
-	Conn         net.Conn      // closed by Run
-	Handler      Handler       // answers the requests
-	Ahead        int           // requests that are accepted before the first of them is answered, at least 1
-	Held         *atomic.Int64 // bytes of bodies, and of answers that wait for their turn, on all connections
-	MaxHeld      int64         // bytes of Held from which no request is accepted behind another one
-	Limit        int64         // bytes of Held above which a large body is refused
-	WriteTimeout time.Duration // bounds the writing of one answer
+	Conn         net.Conn       // closed by Run
+	Handler      Handler        // answers the requests
+	Ahead        int            // requests that are accepted before the first of them is answered, at least 1
+	Held         *atomic.Int64  // bytes of requests' bodies on all connections
+	Unread       *atomic.Int64  // bytes of small answers that are not written yet on all connections; nil to count this one's
+	Behind       *atomic.Int64  // requests that were accepted behind another one and have not ended, on all connections; may be nil
+	MaxHeld      int64          // bytes of Held and Unread from which no request is accepted behind another one
+	MaxBehind    int64          // requests in Behind from which none is accepted behind another one; 0 for no bound
+	Limit        int64          // bytes of Held above which a large body is refused
+	MaxUnread    int64          // bytes of Unread above which slow readers are dropped; 0 for no bound
+	Reclaim      func()         // drops the slowest reader; set if MaxUnread is
+	Holder       *holder.Holder // of large bodies
+	WriteTimeout time.Duration  // bounds the writing of one answer
 	Log          *slog.Logger
 
 	reader  *bufio.Reader
@@ -61,6 +68,11 @@
 	ended   chan struct{}      // capacity Ahead; one value for each request that has ended
 	running int                // requests accepted and not ended, as far as Run has read ended
 
+	unread       atomic.Int64 // bytes of answers that are not written yet
+	heldSince    atomic.Int64 // Unix nanoseconds since when large answers are not written, or 0
+	writingSince atomic.Int64 // Unix nanoseconds since when an answer is written, or 0
+	written      atomic.Int64 // bytes of that answer that were written
+
 	mutex     sync.Mutex // guards the following
 	stopping  bool       // no request is accepted any more
 	closing   bool       // an answer that closes the connection has been or is being written
@@ -83,10 +95,12 @@
 type exchange struct {
 	request  *http.Request
 	body     []byte
-	held     int64 // bytes of the body in Held
+	held     int64        // bytes of the body in Held
+	hold     *holder.Hold // the memory of a large body
 	begun    time.Time
 	response *http.Response  // set in advance if the request was rejected
 	closes   bool            // the answer closes the connection
+	behind   bool            // another request ran when this one was accepted
 	turn     <-chan struct{} // closed when all requests ahead are answered
 	done     chan struct{}   // closed when this one is answered
 }
@@ -100,12 +114,21 @@
 // Run serves the connection until the caller or an answer closes it, Stop was called and all requests are answered, or
 // ctx ends. It closes the connection and returns when all requests have ended.
 func (p *Pipeliner) Run(ctx context.Context) {
-	ctx, p.cancel = context.WithCancel(ctx)
-	defer p.cancel()
+	ctx, cancel := context.WithCancel(ctx)
+	p.mutex.Lock()
+	p.cancel = cancel
+	p.mutex.Unlock()
+	defer cancel()
 	defer p.Conn.Close()
 	defer context.AfterFunc(ctx, func() { p.Conn.Close() })()
 	p.reader = bufio.NewReaderSize(p.Conn, peekBytes)
 	p.ended = make(chan struct{}, p.Ahead)
+	if p.Unread == nil {
+		p.Unread = &atomic.Int64{}
+	}
+	if p.Behind == nil {
+		p.Behind = &atomic.Int64{}
+	}
 	p.mutex.Lock()
 	p.idleSince = time.Now()
 	p.mutex.Unlock()
@@ -136,7 +159,7 @@
 	var turn <-chan struct{} = closedChannel
 	for {
 		p.collectEnded()
-		for p.running >= p.Ahead || p.running > 0 && p.Held.Load() >= p.MaxHeld {
+		for p.running >= p.Ahead || p.running > 0 && p.full() {
 			p.awaitExchange()
 		}
 		if ctx.Err() != nil || !p.awaitRequest() {
@@ -147,7 +170,7 @@
 			p.cancel()
 			return
 		}
-		x.turn, x.done = turn, make(chan struct{})
+		x.turn, x.done, x.behind = turn, make(chan struct{}), p.running > 0
 		turn = x.done
 		// The caller may have hung up before this request was read. Bytes behind it hide that.
 		if x.response == nil && p.reader.Buffered() == 0 && prober.Probe(p.Conn) == prober.Ended {
@@ -168,6 +191,11 @@
 	}
 }
 
+// full reports whether no request is accepted behind another one now.
+func (p *Pipeliner) full() bool {
+	return p.Held.Load()+p.Unread.Load() >= p.MaxHeld || p.MaxBehind > 0 && p.Behind.Load() >= p.MaxBehind
+}
+
 // awaitRequest waits for the first byte of a request and reports whether there is one. The idle timeout counts while no
 // request is running. Empty lines ahead of a request are dropped.
 func (p *Pipeliner) awaitRequest() bool {
@@ -217,6 +245,9 @@
 	}
 	p.last = x
 	p.unended++
+	if x.behind {
+		p.Behind.Add(1)
+	}
 	return true
 }
 
@@ -275,12 +306,13 @@
 	}
 	if x.response == nil {
 		x.response = p.handle(ctx, x)
+		p.release(x)
+	}
+	if x.response.Body != nil {
+		defer x.response.Body.Close()
 	}
-	size := max(0, x.response.ContentLength)
-	p.Held.Add(size)
-	ok := await(ctx, x.turn)
-	p.Held.Add(-size)
-	if !ok {
+	defer p.count(max(0, x.response.ContentLength))()
+	if !await(ctx, x.turn) {
 		return
 	}
 	if err := p.write(x); err != nil {
@@ -326,7 +358,14 @@
 	w := writers.Get().(*bufio.Writer)
 	defer writers.Put(w)
 	w.Reset(p.Conn)
-	p.Conn.SetWriteDeadline(time.Now().Add(p.WriteTimeout))
+	now := time.Now()
+	p.Conn.SetWriteDeadline(now.Add(p.WriteTimeout))
+	p.written.Store(0)
+	p.writingSince.Store(now.UnixNano())
+	defer p.writingSince.Store(0)
+	if m, ok := r.Body.(inMemory); ok && len(m.Bytes()) > w.Available() && x.request.Method != http.MethodHead {
+		return p.writeLarge(w, r, m.Bytes())
+	}
 	if err := r.Write(w); err != nil {
 		return err
 	}
@@ -337,6 +376,11 @@
 func (p *Pipeliner) end(x *exchange) {
 	close(x.done)
 	p.release(x)
+	if x.behind {
+		p.Behind.Add(-1)
+	}
+	// The connection keeps its last exchange, and must not keep the answer with it.
+	x.response = nil
 	p.ended <- struct{}{}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/mesh/pipeliner/reading.go
+++ b/mesh/pipeliner/reading.go
@@ -14,6 +14,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"wisteriaspoke.example/mesh/bodyreader"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/plan"
 )
 
@@ -25,9 +26,6 @@
 	errOverloaded     = errors.New("this node holds too many bodies")
 )
 
-// freeBodyBytes of each body are read whatever this node holds, so that only large bodies are refused.
-const freeBodyBytes = 64 << 10
-
 var headReaders = sync.Pool{New: func() any { return bufio.NewReader(nil) }}
 
 // readRequest reads a whole request. A request that cannot be read is returned with an answer that closes the connection;
@@ -167,6 +165,13 @@
 func (r *heldReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
 	r.exchange.held += int64(n)
+	switch x := r.exchange; {
+	case x.held <= holder.CountedFrom:
+	case x.hold == nil:
+		x.hold = r.pipeliner.Holder.Force(x.held)
+	default:
+		x.hold.Extend(int64(n))
+	}
 	if full := r.pipeliner.checkRoom(r.exchange.held, r.pipeliner.Held.Add(int64(n))); full != nil {
 		return n, full
 	}
@@ -178,7 +183,7 @@
 	switch {
 	case size > p.Limit:
 		return errBodyOverMemory
-	case size > freeBodyBytes && total > p.Limit:
+	case size > holder.CountedFrom && total > p.Limit:
 		return errOverloaded
 	}
 	return nil
@@ -210,5 +215,6 @@
 // release drops the body of x and what it holds.
 func (p *Pipeliner) release(x *exchange) {
 	p.Held.Add(-x.held)
-	x.body, x.held = nil, 0
+	x.hold.Release()
+	x.body, x.held, x.hold = nil, 0, nil
 }
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -1,11 +1,9 @@
 package receiver
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,6 +20,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/pauser"
 	"wisteriaspoke.example/mesh/pipeliner"
@@ -95,15 +94,22 @@
 
 // memoryLimiter bounds the memory for bodies.
 type memoryLimiter interface {
-	// BodyBuffer returns the bytes of callers' request bodies that may be in memory.
+	// BodyBuffer returns the bytes of callers' request bodies, and of small answers that they have not read, that may be in
+	// memory.
 	BodyBuffer() int64
+	// Holder returns the holder of large bodies.
+	Holder() *holder.Holder
+	// MaxConnections returns how many connections callers may have open, or 0 if there is no bound.
+	MaxConnections() int
+	// MaxBehind returns how many requests may run behind others on callers' connections, or 0 if there is no bound.
+	MaxBehind() int64
 }
 
 // Receiver accepts requests over HTTP and has them forwarded.
 type Receiver struct {
 	Callers string        `help:"IP address and port where callers and the local upstream send requests." placeholder:"IP:PORT" env:"WISTERIASPOKE_CALLERS"`
 	Ahead   int           `help:"Requests of one connection that are read before the first of them is answered." default:"16" env:"WISTERIASPOKE_AHEAD"`
-	Held    int64         `help:"Bytes of bodies, and of answers that wait for those before them, from which no further requests are read ahead." default:"16777216" env:"WISTERIASPOKE_HELD"`
+	Held    int64         `help:"Bytes of requests' bodies, and of small answers that are not read, from which no further requests are read ahead." default:"16777216" env:"WISTERIASPOKE_HELD"`
 	Stall   time.Duration `help:"How long the writing of one answer may take." default:"30s" env:"WISTERIASPOKE_STALL"`
 
 	log         *slog.Logger
@@ -111,9 +117,14 @@
 	views       viewSource
 	identity    identity
 	dialect     dialect
-	bodyBuffer  int64 // bytes of request bodies that may be in memory
+	bodyBuffer  int64 // bytes of request bodies, and of small answers, that may be in memory
+	holder      *holder.Holder
+	connections connections
 	listener    *net.TCPListener
 	held        atomic.Int64
+	unread      atomic.Int64
+	behind      atomic.Int64
+	maxBehind   int64 // requests that run behind others on callers' connections, or 0 for no bound
 	active      atomic.Int64
 	draining    atomic.Bool
 	lastEnd     atomic.Pointer[time.Time] // when the requests of a stopping node must have ended
@@ -153,8 +164,10 @@
 	if err != nil {
 		return nil, err
 	}
-	r.bodyBuffer = memory.BodyBuffer()
+	r.bodyBuffer, r.holder = memory.BodyBuffer(), memory.Holder()
 	r.log = k.Log
+	r.connections.max, r.maxBehind = memory.MaxConnections(), memory.MaxBehind()
+	r.holder.SetReclaim(r.dropSlowest)
 	listener, err := net.Listen("tcp", r.Callers)
 	if err != nil {
 		return nil, fault.Wrap(fault.Unavailable, err, "cannot listen for callers", "set --callers to a free address of this host")
@@ -178,12 +191,11 @@
 	defer cancel()
 	accepted, acceptEnd := make(chan net.Conn), make(chan error, 1)
 	go func() { acceptEnd <- r.accept(connCtx, accepted) }()
-	open := map[*pipeliner.Pipeliner]bool{}
 	ended := make(chan *pipeliner.Pipeliner)
 	stop, accepting, stopping := r.stop, true, false
 	var failure error
 	for {
-		if stopping && !accepting && len(open) == 0 {
+		if stopping && !accepting && r.connections.count() == 0 {
 			close(r.idle)
 			return failure
 		}
@@ -191,9 +203,13 @@
 		case c := <-accepted:
 			p := &pipeliner.Pipeliner{
 				Conn: c, Handler: r, Ahead: r.Ahead, Held: &r.held, MaxHeld: r.Held, Limit: r.bodyBuffer, WriteTimeout: r.Stall,
-				Log: r.log,
+				Log: r.log, Unread: &r.unread, Behind: &r.behind, MaxBehind: r.maxBehind, MaxUnread: r.bodyBuffer, Reclaim: r.holder.Reclaim, Holder: r.holder,
 			}
-			open[p] = true
+			if !r.makeRoom() {
+				c.Close()
+				continue
+			}
+			r.connections.add(p)
 			go func() {
 				p.Run(connCtx)
 				ended <- p
@@ -202,11 +218,11 @@
 				p.Stop()
 			}
 		case p := <-ended:
-			delete(open, p)
+			r.connections.remove(p)
 		case <-stop:
 			stop, stopping = nil, true
 			r.listener.SetDeadline(time.Now().Add(backlogTime))
-			for p := range open {
+			for _, p := range r.connections.all() {
 				p.Stop()
 			}
 		case err := <-acceptEnd:
@@ -440,7 +456,7 @@
 func (r *Receiver) response(id string, a answer.Answer) *http.Response {
 	w := &http.Response{
 		StatusCode: a.Status(), Header: http.Header{}, Close: r.draining.Load(), ContentLength: int64(len(a.Body())),
-		Body: io.NopCloser(bytes.NewReader(a.Body())),
+		Body: newBody(a),
 	}
 	if a.Ran() != answer.Yes {
 		metrics.GetOrRegisterCounter("request.failed."+strconv.Itoa(a.Status()), nil).Inc(1)
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -48,19 +48,22 @@
 }
 
 // startServer serves on a free port and returns the receiver and its address.
-func startServer(t *testing.T, f *fakeParts) (*Receiver, string) {
+func startServer(t *testing.T, f *fakeParts, settings ...func(*Receiver)) (*Receiver, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	return startOn(t, f, l), l.Addr().String()
+	return startOn(t, f, l, settings...), l.Addr().String()
 }
 
 // startOn serves on a listener until the test ends.
-func startOn(t *testing.T, f *fakeParts, l net.Listener) *Receiver {
+func startOn(t *testing.T, f *fakeParts, l net.Listener, settings ...func(*Receiver)) *Receiver {
 	t.Helper()
 	r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, dialect: f, Ahead: 8, Held: 1 << 20, bodyBuffer: 1 << 20, Stall: 10 * time.Second}
+	for _, set := range settings {
+		set(r)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	end := r.serve(ctx, l.(*net.TCPListener))
 	t.Cleanup(func() {
--- a/mesh/runner/runner.go
+++ b/mesh/runner/runner.go
@@ -15,6 +15,7 @@
 	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/enroller"
 	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/slotter"
 )
@@ -61,10 +62,10 @@
 	RecordCompletion(c call.Call, before crashcount.Count) crashcount.Count
 }
 
-// memoryLimiter provides the part of the memory that responses may take.
+// memoryLimiter bounds the memory that responses take.
 type memoryLimiter interface {
-	// BodyBuffer returns the bytes of responses that may be in memory before they are complete.
-	BodyBuffer() int64
+	// Holder returns the holder of large bodies.
+	Holder() *holder.Holder
 }
 
 // backend holds the connections and slots for one start of the upstream.
@@ -108,12 +109,12 @@
 
 // Runner runs calls on the local upstream.
 type Runner struct {
-	log            *slog.Logger
-	tracker        upstreamTracker
-	dialect        exchanger.Dialect
-	crashes        crashCounter
-	responseBuffer int64 // bytes of responses that are being read
-	backend        atomic.Pointer[backend]
+	log     *slog.Logger
+	tracker upstreamTracker
+	dialect exchanger.Dialect
+	crashes crashCounter
+	holder  *holder.Holder
+	backend atomic.Pointer[backend]
 }
 
 // Start looks up the parts that the runner needs.
@@ -132,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.responseBuffer = memory.BodyBuffer()
+	r.holder = memory.Holder()
 	r.log = k.Log
 	return nil, nil
 }
@@ -147,7 +148,7 @@
 			tracker: r.tracker, log: r.log, instance: a.Instance, startMillis: a.StartMillis,
 			slotter: slotter.New(min(a.Slots, unprovenSlots)), limit: limit{base: time.Now()},
 		}
-		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next, MaxBuffered: r.responseBuffer}
+		next.exchanger = &exchanger.Exchanger{Address: a.Address, Dialect: r.dialect, Observer: next, Holder: r.holder}
 		next.slots.Store(int32(a.Slots))
 		next.ratioPerMille.Store(initialPerMille)
 		r.backend.Store(next)
--- a/mesh/runner/runner_test.go
+++ b/mesh/runner/runner_test.go
@@ -20,6 +20,7 @@
 	"wisteriaspoke.example/mesh/endpoint"
 	"wisteriaspoke.example/mesh/enroller"
 	"wisteriaspoke.example/mesh/gauge"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/quarantiner"
 	"wisteriaspoke.example/mesh/target"
 )
@@ -27,7 +28,7 @@
 // newRunner returns the runner of a node that has just started, and the enroller that tells it of the upstream.
 func newRunner() (*Runner, *enroller.Enroller) {
 	r := &Runner{
-		log: slog.New(slog.DiscardHandler), dialect: dialect{}, responseBuffer: 32 << 20,
+		log: slog.New(slog.DiscardHandler), dialect: dialect{}, holder: holder.New(32 << 20),
 		crashes: quarantiner.New(slog.New(slog.DiscardHandler)),
 	}
 	e := enroller.New(slog.New(slog.DiscardHandler), r)
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -12,8 +11,10 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/pauser"
+	"wisteriaspoke.example/mesh/sizer"
 )
 
 func init() {
@@ -25,12 +26,8 @@
 	largeBytes = 16 << 10
 	// linkShare is the part of the link's rate that answers may use.
 	linkShare = 0.85
-	// sizeWeight is the weight of one answer in a route's smoothed size.
-	sizeWeight = 0.1
 	// serviceTimeFactor is the multiple of the service time by which a call's latest start lies before its objective's end.
 	serviceTimeFactor = 1.5
-	// maxRoutes bounds the routes whose sizes are kept; calls of further ones are not refused.
-	maxRoutes = 4096
 )
 
 // reason is the reason of refusals.
@@ -47,13 +44,19 @@
 	Refuse(c call.Call, reason string, wait time.Duration) answer.Answer
 }
 
+// memoryLimiter bounds the memory that answers take.
+type memoryLimiter interface {
+	// Holder returns the holder of large bodies.
+	Holder() *holder.Holder
+}
+
 // Throttler limits the large answers that leave this host. It is safe for concurrent use after Start.
 type Throttler struct {
 	LinkRate float64 `help:"Millions of bits a second that the host's network link carries; 0 for no limit on answers." default:"0" env:"WISTERIASPOKE_LINK_RATE"`
 
 	refuser refuser
-	sizes   sync.Map // route -> *atomic.Int64, smoothed bytes of an answer
-	routes  atomic.Int64
+	holder  *holder.Holder
+	sizes   sizer.Sizer
 
 	mutex    sync.Mutex // guards the following
 	freeAt   time.Time  // when the answers sent so far have left
@@ -71,14 +74,27 @@
 // Start looks up the part that the throttler needs.
 func (t *Throttler) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
 	var err error
-	t.refuser, err = kernel.Need[refuser](k)
-	return nil, err
+	if t.refuser, err = kernel.Need[refuser](k); err != nil {
+		return nil, err
+	}
+	memory, err := kernel.Need[memoryLimiter](k)
+	if err != nil {
+		return nil, err
+	}
+	t.holder = memory.Holder()
+	if t.LinkRate <= 0 {
+		t.sizes.From = holder.CountedFrom
+	}
+	return nil, nil
 }
 
 // Reserve decides whether a call may run, by the expected size of its answer. If ok is true, Send must be called with
 // the returned reservation, otherwise the call has not run and the answer is its refusal.
 func (t *Throttler) Reserve(ctx context.Context, c call.Call) (reservation int64, refusal answer.Answer, ok bool) {
-	expected := t.expectedSize(c.Route())
+	expected := t.sizes.Expected(c.Route())
+	if !t.holder.Fits(expected) {
+		return 0, t.refuser.Refuse(c, holder.Reason, holder.RetryAfter), false
+	}
 	if t.LinkRate <= 0 || expected < largeBytes {
 		return 0, answer.Answer{}, true
 	}
@@ -117,10 +133,10 @@
 
 // Send ends a reservation and waits until an answer of the size may leave. It returns an error if ctx ends first.
 func (t *Throttler) Send(ctx context.Context, c call.Call, reservation int64, size int) error {
+	t.sizes.Observe(c.Route(), int64(size))
 	if t.LinkRate <= 0 {
 		return nil
 	}
-	t.observe(c.Route(), int64(size))
 	now := time.Now()
 	t.mutex.Lock()
 	t.reserved -= reservation
@@ -142,28 +158,3 @@
 	const bitsPerByte, million = 8, 1e6
 	return time.Duration(float64(bytes) * bitsPerByte / (t.LinkRate * million * linkShare) * float64(time.Second))
 }
-
-// expectedSize returns the smoothed size of the route's answers, or zero if it is not known.
-func (t *Throttler) expectedSize(route string) int64 {
-	if n, ok := t.sizes.Load(route); ok {
-		return n.(*atomic.Int64).Load()
-	}
-	return 0
-}
-
-func (t *Throttler) observe(route string, size int64) {
-	n, ok := t.sizes.Load(route)
-	if !ok {
-		if t.routes.Load() >= maxRoutes {
-			return
-		}
-		first := &atomic.Int64{}
-		first.Store(size)
-		if _, loaded := t.sizes.LoadOrStore(route, first); !loaded {
-			t.routes.Add(1)
-		}
-		return
-	}
-	old := n.(*atomic.Int64).Load()
-	n.(*atomic.Int64).Store(old + int64(sizeWeight*float64(size-old)))
-}
--- a/mesh/throttler/throttler_test.go
+++ b/mesh/throttler/throttler_test.go
@@ -125,7 +125,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			h := &Throttler{LinkRate: 11, refuser: fakeRefuser{}}
-			h.observe("r", million/2)
+			h.sizes.Observe("r", million/2)
 			f := call.New(call.Fields{Route: "r", ExpectedServiceTime: 100_000, LatestStart: c.latestStart.Milliseconds()})
 			if err := h.Send(t.Context(), call.New(call.Fields{Route: "other"}), 0, c.sent); err != nil {
 				t.Fatal(err)
