pipeliner, forwarder, throttler: count answers without a closure; tests

Counting an answer allocated a closure for each one, also small ones. New cases: an answer that found no memory is not asked for again, a call that was refused for memory is, and a call whose answer would find no memory is refused as not run (forwarder, throttler).

--- a/mesh/forwarder/decide_test.go
+++ b/mesh/forwarder/decide_test.go
@@ -11,10 +11,12 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/crashcount"
 	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 // TestNextAction guards against a second run of a request that is not idempotent, against retries beyond the budget,
-// and against requests that circulate when all endpoints are overloaded.
+// against requests that circulate when all endpoints are
+// overloaded, and against answers without memory that are asked for again.
 func TestNextAction(t *testing.T) {
 	shed := answer.Fields{Status: 503, Ran: answer.No, Reason: exchanger.ReasonShed}
 	full := answer.Fields{Status: 503, Ran: answer.No, Reason: "full"}
@@ -49,6 +51,8 @@
 		{"refused by the node, two crashes before", full, func(s *decisionInput) { s.crashCount = 2 }},
 		{"refused by the node, three crashes before", full, func(s *decisionInput) { s.crashCount = 3 }},
 		{"refused as poison by the node", answer.Fields{Status: 503, Ran: answer.No, Reason: crashcount.Refused}, nil},
+		{"ran, no memory for the answer", answer.Fields{Status: 502, Ran: answer.Maybe, Reason: holder.Reason}, nil},
+		{"no memory for the answer, not run", answer.Fields{Status: 503, Ran: answer.No, Reason: holder.Reason}, nil},
 		{"no other endpoint", full, func(s *decisionInput) { s.hasUntried = false }},
 	}
 	var out strings.Builder
--- a/mesh/pipeliner/pipeliner.go
+++ b/mesh/pipeliner/pipeliner.go
@@ -311,7 +311,9 @@
 	if x.response.Body != nil {
 		defer x.response.Body.Close()
 	}
-	defer p.count(max(0, x.response.ContentLength))()
+	size := max(0, x.response.ContentLength)
+	p.count(size)
+	defer p.uncount(size)
 	if !await(ctx, x.turn) {
 		return
 	}
--- a/mesh/pipeliner/unread.go
+++ b/mesh/pipeliner/unread.go
@@ -23,17 +23,12 @@
 	Bytes() []byte
 }
 
-// count counts an answer of the size as unread, until the function that it returns is called. Large answers have a hold
-// and are not counted beside it.
-func (p *Pipeliner) count(size int64) (uncount func()) {
+// count counts an answer of the size as unread. Large answers have a hold and are not counted beside it.
+func (p *Pipeliner) count(size int64) {
 	own := p.unread.Add(size)
 	if size > holder.CountedFrom {
 		p.heldSince.CompareAndSwap(0, time.Now().UnixNano())
-		return func() {
-			if p.unread.Add(-size) <= holder.CountedFrom {
-				p.heldSince.Store(0)
-			}
-		}
+		return
 	}
 	if total := p.Unread.Add(size); p.MaxUnread > 0 && total > p.MaxUnread {
 		p.Reclaim()
@@ -41,9 +36,15 @@
 			p.Drop()
 		}
 	}
-	return func() {
-		p.unread.Add(-size)
+}
+
+// uncount ends what count began.
+func (p *Pipeliner) uncount(size int64) {
+	own := p.unread.Add(-size)
+	if size <= holder.CountedFrom {
 		p.Unread.Add(-size)
+	} else if own <= holder.CountedFrom {
+		p.heldSince.Store(0)
 	}
 }
 
--- a/mesh/throttler/throttler_test.go
+++ b/mesh/throttler/throttler_test.go
@@ -14,6 +14,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/holder"
 )
 
 type fakeRefuser struct{}
@@ -138,3 +139,27 @@
 	}
 	goldie.New(t).Assert(t, "reserve", []byte(out.String()))
 }
+
+// TestReserveMemory guards against a call that runs although its large answer would find no memory, and against small
+// answers, or the first of a route, that are refused then.
+func TestReserveMemory(t *testing.T) {
+	for _, rate := range []float64{0, 1000} {
+		h := &Throttler{LinkRate: rate, refuser: fakeRefuser{}, holder: holder.New(18 << 20)}
+		h.sizes.Observe("large", 7<<20)
+		h.sizes.Observe("small", 5<<10)
+		hold := h.holder.Force(12 << 20)
+		for _, c := range []struct {
+			route string
+			runs  bool
+		}{{"large", false}, {"small", true}, {"new", true}} {
+			_, refusal, ok := h.Reserve(t.Context(), call.New(call.Fields{Route: c.route}))
+			if ok != c.runs || !ok && (refusal.Ran() != answer.No || refusal.Reason() != holder.Reason || refusal.RetryAfter() == 0) {
+				t.Errorf("rate %g, %s: runs %v, %s", rate, c.route, ok, refusal.Reason())
+			}
+		}
+		hold.Release()
+		if _, _, ok := h.Reserve(t.Context(), call.New(call.Fields{Route: "large"})); !ok {
+			t.Errorf("rate %g: refused with memory", rate)
+		}
+	}
+}
