--- a/mesh/exchanger/reset_test.go
+++ b/mesh/exchanger/reset_test.go
@@ -115,7 +115,7 @@
 					close(c.read) // the end of the connection is not read
 				}
 				x := newExchanger("")
-				a, _ := x.roundTrip(newConnection(c), upload(size), time.Second)
+				a, _ := x.roundTrip(context.Background(), newConnection(c), upload(size), time.Second)
 				fmt.Fprintf(&out, "%7d bytes, %-14s %-25s status %d, ran %-5s reason %-8s body %q\n", size, b.name+",", e.name, a.Status(), a.Ran(), a.Reason(), a.Body())
 			}
 		}
--- a/mesh/forwarder/decide.go
+++ b/mesh/forwarder/decide.go
@@ -7,6 +7,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/crashcount"
 	"wisteriaspoke.example/mesh/exchanger"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/tenant"
 )
 
@@ -46,7 +47,7 @@
 		return deliver
 	}
 	tooShort := float64(s.timeLeft) < minRunFraction*float64(s.expectedServiceTime)
-	if tooShort || !s.hasUntried || s.sends >= maxSends || s.crashCount.Quarantined() || refusedForGood(a) {
+	if tooShort || !s.hasUntried || s.sends >= maxSends || s.crashCount.Quarantined() || refusedForGood(a) || foundNoRoom(a) {
 		return finalAction(a)
 	}
 	if a.Ran() == answer.No && !reachedUpstream(a) {
@@ -63,6 +64,10 @@
 	return a.Reason() == crashcount.Refused || a.Reason() == tenant.Refused
 }
 
+// foundNoRoom reports whether the call may have run and its answer was dropped as a node holds too many bodies. Another
+// send would only add to them.
+func foundNoRoom(a answer.Answer) bool { return a.Ran() == answer.Maybe && a.Reason() == holder.Reason }
+
 func finalAction(a answer.Answer) action {
 	if a.Ran() == answer.Yes {
 		return deliver
@@ -81,7 +86,7 @@
 	case a.Ran() == answer.Yes:
 		return a.Status() >= 500
 	case a.Ran() == answer.Maybe:
-		return a.Reason() != exchanger.ReasonCancelled
+		return a.Reason() != exchanger.ReasonCancelled && a.Reason() != holder.Reason
 	}
 	return a.Reason() == exchanger.ReasonShed || a.Reason() == exchanger.ReasonWrongInstance || a.Reason() == exchanger.ReasonUnreachable
 }
--- a/mesh/revalidator/path_test.go
+++ b/mesh/revalidator/path_test.go
@@ -17,6 +17,7 @@
 	"wisteriaspoke.example/mesh/elector"
 	"wisteriaspoke.example/mesh/enroller"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/machine"
 	"wisteriaspoke.example/mesh/message"
@@ -72,6 +73,9 @@
 }
 func (s *surroundings) Return(*tenant.Tenant)                              {}
 func (s *surroundings) Service() string                                    { return "own" }
+func (s *surroundings) Holder() *holder.Holder                             { return holder.New(1 << 20) }
+func (s *surroundings) MaxConnections() int                                { return 0 }
+func (s *surroundings) MaxBehind() int64                                   { return 0 }
 func (s *surroundings) BodyBuffer() int64                                  { return 1 << 20 }
 func (s *surroundings) ParseRequest(h http.Header) (string, time.Duration) { return h.Get("Id"), 0 }
 func (s *surroundings) SetUpstreamHeaders(h http.Header, c call.Call, _ time.Duration) {
