linker: read large frames into one buffer of their size

The first 64 KB of each frame above that size were read into a new buffer that grew by doubling, which made frames of 64 KB twice as slow as before the bound on large bodies. The beginning is now read into the buffer that is used again, and frames of calls up to 128 KB stay in it as before.

--- a/mesh/linker/large.go
+++ b/mesh/linker/large.go
@@ -1,6 +1,7 @@
 package linker
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net/http"
@@ -39,8 +40,18 @@
 	ok   bool // there is memory for it
 }
 
+// buffer returns an empty buffer for the whole frame, or nil if it is dropped.
+func (f *largeFrame) buffer() *bytes.Buffer {
+	if !f.ok {
+		return nil
+	}
+	// Without some room behind the frame, reading its end would double the buffer.
+	return bytes.NewBuffer(make([]byte, 0, f.size+bytes.MinRead))
+}
+
 // claimFrame takes the memory for the frame that begins with the bytes. Answers wait for it, and are dropped if there is
-// none in time. Calls take it in any case, as their bodies are bounded by the intake.
+// none in time. Calls take it in any case, as their bodies are bounded by the intake; it returns nil for those that fit into
+// the buffer that is used again.
 func (l *link) claimFrame(ctx context.Context, begin []byte) *largeFrame {
 	f := &largeFrame{size: int(l.maxFrameBytes()), ok: true}
 	p := peeker.New(begin)
@@ -64,6 +75,9 @@
 			f.size = p.Position() + int(size)
 		}
 	}
+	if f.size+bytes.MinRead <= maxReusedBuffer {
+		return nil
+	}
 	f.hold = l.owner.holder.Force(int64(f.size))
 	return f
 }
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -333,9 +333,10 @@
 }
 
 // readMessage returns one binary message of at most limit bytes, counted after decompression; the result is valid
-// until the buffer's next use. Unless claim is nil, it is called with the beginning of a large message and returns the
-// bytes that the message is expected to have. If it returns false, the message is dropped and the result is errDropped.
-func readMessage(c *websocket.Conn, limit int64, onRead func(), buffer *bytes.Buffer, claim func(begin []byte) (int, bool)) ([]byte, error) {
+// until the buffer's next use. Unless claim is nil, it is called with the beginning of a large message and returns an
+// empty buffer for the whole message, or nil to use the same one. If it returns false, the message is dropped and the result
+// is errDropped.
+func readMessage(c *websocket.Conn, limit int64, onRead func(), buffer *bytes.Buffer, claim func(begin []byte) (*bytes.Buffer, bool)) ([]byte, error) {
 	c.SetReadLimit(limit)
 	kind, r, err := c.NextReader()
 	if err != nil {
@@ -353,15 +354,17 @@
 	n, err := buffer.ReadFrom(stream)
 	dropped := false
 	if err == nil && n > first && first < limit {
-		size, ok := claim(buffer.Bytes())
+		own, ok := claim(buffer.Bytes())
 		dropped = !ok
 		stream.N = limit + 1 - n
 		var rest int64
 		if dropped {
 			rest, err = io.Copy(io.Discard, stream)
 		} else {
-			// Without some room behind the message, ReadFrom would double the buffer.
-			buffer.Grow(max(0, size-buffer.Len()) + bytes.MinRead)
+			if own != nil {
+				own.Write(buffer.Bytes())
+				buffer = own
+			}
 			rest, err = buffer.ReadFrom(stream)
 		}
 		n += rest
@@ -407,9 +410,11 @@
 		return nil
 	})
 	var large *largeFrame
-	claim := func(begin []byte) (int, bool) {
-		large = l.claimFrame(ctx, begin)
-		return large.size, large.ok
+	claim := func(begin []byte) (*bytes.Buffer, bool) {
+		if large = l.claimFrame(ctx, begin); large == nil {
+			return nil, true
+		}
+		return large.buffer(), large.ok
 	}
 	if !l.purpose.carriesCalls() {
 		claim = nil
@@ -424,13 +429,10 @@
 		case err == nil:
 			err = l.decodeAndHandle(ctx, data, large)
 		}
-		if large != nil {
-			if err != nil {
-				large.hold.Release()
-			}
-			// The answer keeps a part of the buffer.
-			buffer = new(bytes.Buffer)
-		} else if buffer.Cap() > maxReusedBuffer {
+		if large != nil && err != nil {
+			large.hold.Release()
+		}
+		if buffer.Cap() > maxReusedBuffer {
 			buffer = new(bytes.Buffer)
 		}
 		if err != nil && !errors.Is(err, errDropped) {
