receiver: test of an empty key in the configuration

Cause: a tenant whose list of keys has an empty one would own all requests without a key. Change: TestKeys has such a tenant. Test: fails; the request without a key gets 200 as the tenant's instead of 401.

--- a/mesh/receiver/key_test.go
+++ b/mesh/receiver/key_test.go
@@ -32,6 +32,8 @@
 	with := without.WithTenants([]*tenant.Tenant{
 		tenant.New(tenant.Fields{Name: "t1", Priority: 1, KeyHashes: [][]byte{tenant.HashKey("k1"), tenant.HashKey("k2")}}),
 		tenant.New(tenant.Fields{Name: "t2"}),
+		// An operator's empty key must not make all requests without a key its tenant's.
+		tenant.New(tenant.Fields{Name: "t3", KeyHashes: [][]byte{tenant.HashKey("")}}),
 	})
 	var out strings.Builder
 	for _, c := range []struct {
