receiver: a request without a key belongs to no tenant

Cause: the hash of a missing key was looked up like any other, so that a tenant with an empty key in the configuration admitted requests without a key. Change: without a key the request has no tenant, whatever the configuration has. Test: TestKeys passes.

--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -422,8 +422,13 @@
 	if len(p.Tenants()) == 0 {
 		return nil, nil, nil
 	}
-	hash := tenant.HashKey(r.dialect.TakeKey(q.Header))
+	key := r.dialect.TakeKey(q.Header)
+	hash := tenant.HashKey(key)
 	t := p.TenantByKeyHash(hash)
+	if key == "" {
+		// An empty key in the configuration is a mistake, and must not admit requests without one.
+		t = nil
+	}
 	switch {
 	case match.Public():
 		return t, nil, nil
