gossiper: test of a proof for a version that linked nodes know to be outdated

Cause: after a restore of the store, a node that has restarted reads an older configuration and proves that nothing newer exists, although a linked node's status names a higher version. Requests with a key that the lost version revoked then run. Test: TestLostVersionProvesNothing fails: two such proofs are given.

--- a/mesh/gossiper/reads_test.go
+++ b/mesh/gossiper/reads_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"wisteriaspoke.example/mesh/event"
+	"wisteriaspoke.example/mesh/message"
 	"wisteriaspoke.example/mesh/record"
 )
 
@@ -61,3 +63,29 @@
 		}
 	})
 }
+
+// TestLostVersionProvesNothing guards against a node that restarts after a restore of the store and takes the older
+// configuration in it for the newest, although a linked node has told that there is a newer one, which may lack some key.
+func TestLostVersionProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		x := n.start("a1")
+		f := &fakeProver{}
+		x.prover = f
+		restored := configuration(4, record.Position(1, 10))
+		x.AddRead(restored, 1)
+		// The messages to this node are lost, so its newer configuration is not pulled.
+		x.Inject(event.NewLinked("a2"))
+		x.Inject(event.NewReceived("a2", message.New(kindStatus, &status{
+			Incarnation: 1, Sequence: 1, DataCentre: "a", Region: "a", ConfigurationRevision: 7, StoreFailureAge: -1,
+		})))
+		x.AddRead(restored, 2)
+		x.AddRead(nil, 3)
+		x.AddRead(configuration(7, record.Position(1, 12)), 4)
+		synctest.Wait()
+		if got := strings.Join(f.proofs, " "); got != "1:4 4:7" {
+			t.Errorf("proofs %q, want 1:4 4:7", got)
+		}
+		n.kill("a1")
+	})
+}
