gossiper: no proof while a linked node has a newer configuration

Change: a read proves nothing while a linked node's status or confirmation names a higher version than the one in force.

--- a/mesh/gossiper/reads.go
+++ b/mesh/gossiper/reads.go
@@ -41,17 +41,28 @@
 	return g.enqueue(storeRead{records: rs, began: began})
 }
 
-// handleRead applies the records of a read and then has it recorded as a proof, unless the plan's object has been changed to
-// something that cannot be read: that may be a configuration without some key.
+// handleRead applies the records of a read and then has it recorded as a proof, unless there may be a configuration without
+// some key that this node does not have: the plan's object has been changed to something that cannot be read, or a linked
+// node has a newer version, which the store has lost in a restore.
 func (g *Gossiper) handleRead(r storeRead) {
 	if len(r.records) > 0 {
 		g.handle(storeRecords(r.records))
 	}
-	if g.prover != nil && g.plan != nil && !g.planObject.refused {
+	if g.prover != nil && g.plan != nil && !g.planObject.refused && !g.newerPlanKnown() {
 		g.prover.Prove(r.began, g.plan.Version())
 	}
 }
 
+// newerPlanKnown reports whether a linked node has a configuration of a higher version, which this node is about to pull.
+func (g *Gossiper) newerPlanKnown() bool {
+	for _, p := range g.peers {
+		if p.linked && p.revisions().Configuration > g.plan.Version() {
+			return true
+		}
+	}
+	return false
+}
+
 // planObject is the object of the store that the plan was read from.
 type planObject struct {
 	name    string // empty before the first plan
