receiver: test of the return of a token after the host was suspended

Cause: the age of a token that is returned is measured with the runtime's clock, which stops while the host is suspended. Test: fails; the token is returned although it is older than quota.ReturnTerm.

--- a/mesh/receiver/quota_test.go
+++ b/mesh/receiver/quota_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,6 +18,7 @@
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/plan"
+	"wisteriaspoke.example/mesh/quota"
 	"wisteriaspoke.example/mesh/rule"
 	"wisteriaspoke.example/mesh/tenant"
 )
@@ -32,7 +34,7 @@
 func (l *fakeLimiter) Return(t *tenant.Tenant) { l.trace = append(l.trace, "return "+t.Name()) }
 
 // TestQuota guards against requests over the limit that are forwarded, tokens that are taken for requests without a limit
-// or on public routes, and tokens that are lost, or returned although the request may have run.
+// or on public routes, and tokens that are lost, or returned although the request may have run or the token is too old.
 func TestQuota(t *testing.T) {
 	limited := func(name string) *tenant.Tenant {
 		return tenant.New(tenant.Fields{Name: name, RatePerSecond: 5, Burst: 5, KeyHashes: [][]byte{tenant.HashKey(name)}})
@@ -48,19 +50,23 @@
 	for _, c := range []struct {
 		name, path, key string
 		answer          answer.Fields
+		passes          time.Duration // until the answer, by the clock that counts the time for which the host is suspended
 	}{
-		{"below the limit", "/a/x", "below", answer.Fields{Status: 200, Ran: answer.Yes}},
-		{"over the limit", "/a/x", "over", answer.Fields{Status: 200, Ran: answer.Yes}},
-		{"no limit", "/a/x", "unlimited", answer.Fields{Status: 200, Ran: answer.Yes}},
-		{"public", "/p/x", "over", answer.Fields{Status: 200, Ran: answer.Yes}},
-		{"unknown key", "/a/x", "other", answer.Fields{Status: 200, Ran: answer.Yes}},
-		{"refused as not run", "/a/x", "below", answer.Fields{Status: 503, Ran: answer.No, RetryAfter: 250}},
-		{"not run before its deadline", "/a/x", "below", answer.Fields{Status: 504, Ran: answer.No}},
-		{"may have run", "/a/x", "below", answer.Fields{Status: 504, Ran: answer.Maybe}},
+		{"below the limit", "/a/x", "below", answer.Fields{Status: 200, Ran: answer.Yes}, 0},
+		{"over the limit", "/a/x", "over", answer.Fields{Status: 200, Ran: answer.Yes}, 0},
+		{"no limit", "/a/x", "unlimited", answer.Fields{Status: 200, Ran: answer.Yes}, 0},
+		{"public", "/p/x", "over", answer.Fields{Status: 200, Ran: answer.Yes}, 0},
+		{"unknown key", "/a/x", "other", answer.Fields{Status: 200, Ran: answer.Yes}, 0},
+		{"refused as not run", "/a/x", "below", answer.Fields{Status: 503, Ran: answer.No, RetryAfter: 250}, 0},
+		{"not run before its deadline", "/a/x", "below", answer.Fields{Status: 504, Ran: answer.No}, 0},
+		{"may have run", "/a/x", "below", answer.Fields{Status: 504, Ran: answer.Maybe}, 0},
+		{"not run, the host was suspended", "/a/x", "below", answer.Fields{Status: 503, Ran: answer.No, RetryAfter: 250}, quota.ReturnTerm},
 	} {
 		forwarded := false
+		var now atomic.Int64
 		f := &fakeParts{plan: p, forward: func(context.Context, call.Fields) answer.Answer {
 			forwarded = true
+			now.Add(int64(c.passes))
 			return answer.New(c.answer)
 		}}
 		l := &fakeLimiter{}
@@ -68,7 +74,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, proofs: f, dialect: f, rateLimiter: l, Ahead: 8, Held: 1 << 20, bodyBuffer: 1 << 20, Stall: 10 * time.Second}
+		r := &Receiver{now: func() time.Duration { return time.Duration(now.Load()) }, log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, proofs: f, dialect: f, rateLimiter: l,
+			Ahead: 8, Held: 1 << 20, bodyBuffer: 1 << 20, Stall: 10 * time.Second}
 		ctx, cancel := context.WithCancel(context.Background())
 		end := r.serve(ctx, listener.(*net.TCPListener))
 		conn, err := net.Dial("tcp", listener.Addr().String())
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -22,6 +22,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/clock"
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/pauser"
@@ -34,7 +35,7 @@
 )
 
 func init() {
-	kernel.Register("receiver", 70, func() kernel.Part { return &Receiver{} })
+	kernel.Register("receiver", 70, func() kernel.Part { return &Receiver{now: clock.Clock{}.Now} })
 }
 
 const (
@@ -141,7 +142,8 @@
 	proofs      freshness
 	dialect     dialect
 	rateLimiter rateLimiter
-	bodyBuffer  int64 // bytes of request bodies that may be in memory
+	now         func() time.Duration // boot-time clock
+	bodyBuffer  int64                // bytes of request bodies that may be in memory
 	listener    *net.TCPListener
 	held        atomic.Int64
 	active      atomic.Int64
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -17,6 +17,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/clock"
 	"wisteriaspoke.example/mesh/plan"
 	"wisteriaspoke.example/mesh/rule"
 	"wisteriaspoke.example/mesh/view"
@@ -67,7 +68,8 @@
 // startOn serves on a listener until the test ends.
 func startOn(t *testing.T, f *fakeParts, l net.Listener) *Receiver {
 	t.Helper()
-	r := &Receiver{log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, proofs: f, dialect: f, Ahead: 8, Held: 1 << 20, bodyBuffer: 1 << 20, Stall: 10 * time.Second}
+	r := &Receiver{now: clock.Clock{}.Now, log: slog.New(slog.DiscardHandler), forwarder: f, views: f, identity: f, proofs: f, dialect: f,
+		Ahead: 8, Held: 1 << 20, bodyBuffer: 1 << 20, Stall: 10 * time.Second}
 	ctx, cancel := context.WithCancel(context.Background())
 	end := r.serve(ctx, l.(*net.TCPListener))
 	t.Cleanup(func() {
