receiver: measure the age of returned tokens with the boot-time clock

Tokens of many requests that were refused after a suspension were credited at once. Change: the boot-time clock measures the time since the token was taken. Test: TestQuota passes; the package passes with -race.

--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -382,13 +382,13 @@
 			return r.refuse(q, http.StatusTooManyRequests, "tenant "+t.Name()+" is over its limit", wait)
 		}
 	}
-	taken := time.Now()
+	taken := r.now()
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
 		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
 		Tenant: tenantName(t), KeyHash: keyHash, KeyVersion: r.keyVersion(p, keyHash), Priority: priority(t, match),
 	})
-	if limited && a.Ran() == answer.No && time.Since(taken) < quota.ReturnTerm {
+	if limited && a.Ran() == answer.No && r.now()-taken < quota.ReturnTerm {
 		r.rateLimiter.Return(t)
 	}
 	durationHistogram(match.Name()).Update(time.Since(begun).Milliseconds())
