ratelimiter: test of a restart without the addresses of the other nodes

Test: TestAddressesUnknown fails with the whole limit as the share of one node of five, 1.015 s after its start.

--- a/mesh/ratelimiter/chaos_test.go
+++ b/mesh/ratelimiter/chaos_test.go
@@ -122,6 +122,40 @@
 	})
 }
 
+// TestAddressesUnknown guards against a process that takes more than its share while it does not know the other nodes: its
+// first call for their addresses gets no answer.
+func TestAddressesUnknown(t *testing.T) {
+	const late = 2200 * time.Millisecond
+	m := newSimMesh(testBounds, 5, []quota.Limit{{Name: "t", Rate: 100, Burst: 100}}, 1)
+	m.advance(settle, nil)
+	restarted := m.nodes[4]
+	m.start(restarted)
+	for _, n := range m.nodes[:4] {
+		m.cut[[2]int{n.index, restarted.index}] = true
+	}
+	m.addresses = func(n *simNode) int {
+		if n == restarted && m.now-n.startedAt < late {
+			return 1
+		}
+		return len(m.nodes)
+	}
+	m.runs["t"] = nil
+	load := m.arrivals("t", 400, []int{restarted.index})
+	_, shard := quota.Identify("t")
+	for end := m.now + 6*time.Second; m.now < end; {
+		m.advance(step, load)
+		if share := restarted.granter.Share(shard, restarted.clock(m)); share > 1.0/5 {
+			t.Fatalf("a share of %g %v after the start", share, m.now-restarted.startedAt)
+		}
+		if n := restarted.spender.Members().Count(restarted.clock(m)); n > 0 && n < len(m.nodes) {
+			t.Fatalf("%d nodes %v after the start", n, m.now-restarted.startedAt)
+		}
+	}
+	if len(m.runs["t"]) == 0 {
+		t.Error("no request ran after the addresses were known")
+	}
+}
+
 // TestHeldTokens guards against tokens that lie unused at nodes while the bucket fills again as if they were gone: a
 // tenant that has been nearly idle then sends 20 times its limit.
 func TestHeldTokens(t *testing.T) {
--- a/mesh/ratelimiter/mesh_test.go
+++ b/mesh/ratelimiter/mesh_test.go
@@ -28,6 +28,8 @@
 	queue  simQueue
 	cut    map[[2]int]bool
 	delay  func() time.Duration // added to the latency of a message
+	// addresses is the number of nodes that one knows or tries to reach.
+	addresses func(n *simNode) int
 	// notRun is the chance that a request is admitted and then does not run.
 	notRun     float64
 	someNotRun bool
@@ -118,6 +120,7 @@
 		wrong: map[string][]time.Duration{}, counters: map[string]*counter{},
 		delay: func() time.Duration { return 0 },
 	}
+	m.addresses = func(*simNode) int { return len(m.nodes) }
 	for i := range nodes {
 		m.nodes = append(m.nodes, &simNode{index: i, address: fmt.Sprintf("10.0.0.%d:7600", i)})
 		m.start(m.nodes[i])
@@ -229,7 +232,7 @@
 				n.spender.Members().See(o.address, false, m.now-o.startedAt, n.clock(m))
 			}
 		}
-		n.spender.Members().SetAddresses(len(m.nodes), n.clock(m))
+		n.spender.Members().SetAddresses(m.addresses(n), n.clock(m))
 		n.spender.SetNodes(alive, n.clock(m))
 	}
 	for _, o := range n.spender.Due(n.clock(m)) {
