membercounter: a process that knows no other address waits 2.5 s before it counts itself alone

Change: without a known address there is no number, and so no share, for 2.5 s after the start, no certainty that all nodes have started together, and no number to tell, which reached the process itself through its own reports. Test: TestCount, TestStartedTogether and TestAddressesUnknown pass.

--- a/mesh/membercounter/membercounter.go
+++ b/mesh/membercounter/membercounter.go
@@ -6,8 +6,11 @@
 )
 
 const (
-	// settleTime is how long the number of nodes must not have grown before a process that has just started uses it.
+	// settleTime is how long the number of nodes must not have grown before a process that has just started tells it to others.
 	settleTime = time.Second
+	// aloneSettleTime is that of a process that knows no address but its own. The first call for the addresses may get no
+	// answer from the store, which takes 1.5 s, and be repeated.
+	aloneSettleTime = 2500 * time.Millisecond
 	// heardTerm is how long a number is used that another node has told.
 	heardTerm = 5 * time.Second
 	// forgetAfter is how long a node counts that has vanished without saying that it stops. It may be cut off and use its
@@ -76,7 +79,7 @@
 
 // Count returns the number of nodes, or 0 while it is not known.
 func (c *Counter) Count(now time.Duration) int {
-	if !c.settled(now) && c.heard == 0 && c.addresses == 1 {
+	if c.heard == 0 && c.addresses == 1 && now-c.grownAt < aloneSettleTime {
 		return 0
 	}
 	n := max(c.members(), c.addresses)
@@ -87,9 +90,9 @@
 }
 
 // StartedTogether reports whether the whole mesh has started with this process, so that no process is left to which an
-// earlier one of this node can have lent its share.
+// earlier one of this node can have lent its share. Without a known address of another node that is not certain.
 func (c *Counter) StartedTogether() bool {
-	if float64(c.members()) < startedFraction*float64(c.addresses) {
+	if c.addresses == 1 || float64(c.members()) < startedFraction*float64(c.addresses) {
 		return false
 	}
 	for _, s := range c.seen {
@@ -103,7 +106,7 @@
 // Known returns the number of nodes that this one may tell others, or 0.
 func (c *Counter) Known(now time.Duration) int {
 	switch {
-	case !c.settled(now):
+	case !c.settled(now), c.addresses == 1:
 		return 0
 	case !c.reachesMajority():
 		return c.addresses
