ratelimiter: the test of the bound covers nodes that say that they stop

Cause: the virtual mesh did not leave out nodes that stop from the number of nodes, as gossiper does, and stopped one at a time. Change: nodes that stop are left out while they still use their shares; several stop at once.

--- a/mesh/ratelimiter/chaos_test.go
+++ b/mesh/ratelimiter/chaos_test.go
@@ -68,19 +68,28 @@
 				spend()
 			},
 			"stop": func(*rapid.T) {
-				n := pick("stopped")
-				if !n.runs(m) {
-					return
-				}
-				for address, gs := range n.granter.Release(n.clock(m)) {
-					for _, g := range gs {
-						m.send(n, address, g)
+				var stopped []*simNode
+				set := rapid.Uint64().Draw(t, "stopped")
+				for i, n := range m.nodes {
+					if set>>i&1 == 0 || !n.runs(m) {
+						continue
+					}
+					n.leaving = true
+					stopped = append(stopped, n)
+					for address, gs := range n.granter.Release(n.clock(m)) {
+						for _, g := range gs {
+							m.send(n, address, g)
+						}
 					}
 				}
 				spend()
-				n.down = true
+				for _, n := range stopped {
+					n.down = true
+				}
 				spend()
-				m.start(n)
+				for _, n := range stopped {
+					m.start(n)
+				}
 			},
 			"delay": func(*rapid.T) {
 				longest := int64(rapid.IntRange(0, 4000).Draw(t, "delay")) + 1
--- a/mesh/ratelimiter/mesh_test.go
+++ b/mesh/ratelimiter/mesh_test.go
@@ -72,6 +72,7 @@
 	granter     *granter.Granter
 	frozenTill  time.Duration
 	down        bool
+	leaving     bool // it has said that it stops
 	lastSeen    map[int]time.Duration
 	polledAt    time.Duration
 	waiting     []simWaiter
@@ -120,7 +121,15 @@
 		wrong: map[string][]time.Duration{}, counters: map[string]*counter{},
 		delay: func() time.Duration { return 0 },
 	}
-	m.addresses = func(*simNode) int { return len(m.nodes) }
+	m.addresses = func(n *simNode) int {
+		count := 0
+		for _, o := range m.nodes {
+			if o == n || !o.leaving || m.cut[[2]int{min(o.index, n.index), max(o.index, n.index)}] {
+				count++
+			}
+		}
+		return count
+	}
 	for i := range nodes {
 		m.nodes = append(m.nodes, &simNode{index: i, address: fmt.Sprintf("10.0.0.%d:7600", i)})
 		m.start(m.nodes[i])
@@ -138,7 +147,7 @@
 	n.spender.SetLimits(m.limits)
 	n.granter.SetLimits(m.limits, n.clock(m))
 	n.startedAt = m.now
-	n.down, n.frozenTill, n.lastSeen, n.waiting, n.polledAt = false, 0, map[int]time.Duration{}, nil, 0
+	n.leaving, n.down, n.frozenTill, n.lastSeen, n.waiting, n.polledAt = false, false, 0, map[int]time.Duration{}, nil, 0
 	n.returns = nil
 }
 
@@ -229,7 +238,7 @@
 			}
 			if at, ok := n.lastSeen[o.index]; ok && m.now-at < detectTime {
 				alive = append(alive, o.address)
-				n.spender.Members().See(o.address, false, m.now-o.startedAt, n.clock(m))
+				n.spender.Members().See(o.address, o.leaving, m.now-o.startedAt, n.clock(m))
 			}
 		}
 		n.spender.Members().SetAddresses(m.addresses(n), n.clock(m))
