--- a/mesh/pipeliner/reading.go
+++ b/mesh/pipeliner/reading.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"regexp"
 	"sync"
 	"time"
 
@@ -128,6 +129,9 @@
 	}
 }
 
+// quoted matches what an error quotes of a head. It may be a caller's key and is left out of reasons, which are logged.
+var quoted = regexp.MustCompile(`"(?:[^"\\]|\\.)*"`)
+
 // parseHead parses a complete head.
 func parseHead(head []byte) (*http.Request, error) {
 	r := headReaders.Get().(*bufio.Reader)
@@ -136,7 +140,7 @@
 	q, err := http.ReadRequest(r)
 	if err != nil {
 		// The kind of err is dropped: the end of the head is not that of the connection.
-		return nil, errors.New("malformed request: " + err.Error())
+		return nil, errors.New("malformed request: " + quoted.ReplaceAllString(err.Error(), `"..."`))
 	}
 	switch {
 	case q.ProtoMajor != 1:
