membercounter: name and comments as elsewhere

Change: the type is MemberCounter, as the house rules ask for; comments say what the fields and the majority are. Test: the packages membercounter, spender and ratelimiter pass.

--- a/mesh/membercounter/membercounter.go
+++ b/mesh/membercounter/membercounter.go
@@ -16,8 +16,8 @@
 	// forgetAfter is how long a node counts that has vanished without saying that it stops. It may be cut off and use its
 	// share; regions lose each other for minutes.
 	forgetAfter = 10 * time.Minute
-	// majority is the number of parts of the known addresses of which more than one must be reached before those that have
-	// not answered for long are left out, so that at most one side of a partition does so.
+	// majority is the factor by which the counted nodes must exceed the known addresses before addresses that do not answer
+	// are left out: more than half are counted, so that at most one side of a partition leaves out the other.
 	majority = 2
 	// startSpread is the longest time between the starts of two nodes after a loss of power of the whole mesh.
 	startSpread = 500 * time.Millisecond
@@ -26,16 +26,16 @@
 	startedFraction = 0.8
 )
 
-// Counter counts the nodes that may use a share of a limit. It errs towards a number that is too high, as shares are then
+// MemberCounter counts the nodes that may use a share of a limit. It errs towards a number that is too high, as shares are then
 // too small. It is not safe for concurrent use.
-type Counter struct {
+type MemberCounter struct {
 	startedAt time.Duration
 	seen      map[string]sighting
 	addresses int // nodes that this one knows or tries to reach, itself among them
-	heard     int
+	heard     int // highest number that another node has told within heardTerm
 	heardAt   time.Duration
-	grownAt   time.Duration
-	largest   int
+	grownAt   time.Duration // when members was last higher than ever before
+	largest   int           // value of members at grownAt
 }
 
 // sighting is what is known of another node.
@@ -45,12 +45,12 @@
 }
 
 // New returns the counter of a process that starts now.
-func New(now time.Duration) *Counter {
-	return &Counter{startedAt: now, seen: map[string]sighting{}, grownAt: now, addresses: 1, largest: 1}
+func New(now time.Duration) *MemberCounter {
+	return &MemberCounter{startedAt: now, seen: map[string]sighting{}, grownAt: now, addresses: 1, largest: 1}
 }
 
 // See records that another node runs, with a process of that age, or that it has said that it stops. Its share is free then.
-func (c *Counter) See(address string, leaving bool, age, now time.Duration) {
+func (c *MemberCounter) See(address string, leaving bool, age, now time.Duration) {
 	if leaving {
 		delete(c.seen, address)
 		return
@@ -62,8 +62,9 @@
 }
 
 // SetAddresses sets the number of nodes, including this one, that are known or that this node tries to reach. A node that
-// reaches only few of them keeps the largest number, as it gives up those that do not answer.
-func (c *Counter) SetAddresses(n int, now time.Duration) {
+// counts at most half of them keeps the largest number, as it gives up those that do not answer. It also forgets the nodes that
+// vanished long ago.
+func (c *MemberCounter) SetAddresses(n int, now time.Duration) {
 	maps.DeleteFunc(c.seen, func(_ string, s sighting) bool { return now-s.at >= forgetAfter })
 	if n > c.addresses || c.reachesMajority() {
 		c.addresses = n
@@ -71,14 +72,14 @@
 }
 
 // Hear records the number of nodes that another node has told.
-func (c *Counter) Hear(n int, now time.Duration) {
+func (c *MemberCounter) Hear(n int, now time.Duration) {
 	if n > 0 && (n >= c.heard || now-c.heardAt > heardTerm) {
 		c.heard, c.heardAt = n, now
 	}
 }
 
 // Count returns the number of nodes, or 0 while it is not known.
-func (c *Counter) Count(now time.Duration) int {
+func (c *MemberCounter) Count(now time.Duration) int {
 	if c.heard == 0 && c.addresses == 1 && now-c.grownAt < aloneSettleTime {
 		return 0
 	}
@@ -91,7 +92,7 @@
 
 // StartedTogether reports whether the whole mesh has started with this process, so that no process is left to which an
 // earlier one of this node can have lent its share. Without a known address of another node that is not certain.
-func (c *Counter) StartedTogether() bool {
+func (c *MemberCounter) StartedTogether() bool {
 	if c.addresses == 1 || float64(c.members()) < startedFraction*float64(c.addresses) {
 		return false
 	}
@@ -103,8 +104,8 @@
 	return true
 }
 
-// Known returns the number of nodes that this one may tell others, or 0.
-func (c *Counter) Known(now time.Duration) int {
+// Known returns the number of nodes that this one tells others, or 0 while it is not certain.
+func (c *MemberCounter) Known(now time.Duration) int {
 	switch {
 	case !c.settled(now), c.addresses == 1:
 		return 0
@@ -114,9 +115,10 @@
 	return c.members()
 }
 
-func (c *Counter) members() int { return len(c.seen) + 1 }
+// members returns the number of nodes that run or have vanished lately, with this one.
+func (c *MemberCounter) members() int { return len(c.seen) + 1 }
 
-func (c *Counter) settled(now time.Duration) bool { return now-c.grownAt >= settleTime }
+func (c *MemberCounter) settled(now time.Duration) bool { return now-c.grownAt >= settleTime }
 
-// reachesMajority reports whether enough of the known addresses answer to leave out the others.
-func (c *Counter) reachesMajority() bool { return majority*c.members() > c.addresses }
+// reachesMajority reports whether enough of the known addresses are of counted nodes to leave out the others.
+func (c *MemberCounter) reachesMajority() bool { return majority*c.members() > c.addresses }
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -59,7 +59,7 @@
 	startedAt   time.Duration
 	avoided     map[string]time.Duration // addresses of nodes that stop, until when
 
-	members *membercounter.Counter
+	members *membercounter.MemberCounter
 	expired uint64
 }
 
@@ -174,7 +174,7 @@
 }
 
 // Members returns the counter of the nodes among which limits are divided.
-func (s *Spender) Members() *membercounter.Counter { return s.members }
+func (s *Spender) Members() *membercounter.MemberCounter { return s.members }
 
 // SetNodes sets the other nodes that are alive and returns the shards whose owner changes.
 func (s *Spender) SetNodes(alive []string, now time.Duration) []Change {
