--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -20,6 +20,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/clock"
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
@@ -33,7 +34,7 @@
 )
 
 func init() {
-	kernel.Register("receiver", 70, func() kernel.Part { return &Receiver{} })
+	kernel.Register("receiver", 70, func() kernel.Part { return &Receiver{now: clock.Clock{}.Now} })
 }
 
 const (
@@ -152,7 +153,8 @@
 	proofs      freshness
 	dialect     dialect
 	rateLimiter rateLimiter
-	bodyBuffer  int64 // bytes of request bodies, and of small answers, that may be in memory
+	now         func() time.Duration // boot-time clock
+	bodyBuffer  int64                // bytes of request bodies, and of small answers, that may be in memory
 	holder      *holder.Holder
 	connections connections
 	listener    *net.TCPListener
@@ -410,13 +412,13 @@
 			return r.refuse(q, http.StatusTooManyRequests, "tenant "+t.Name()+" is over its limit", wait)
 		}
 	}
-	taken := time.Now()
+	taken := r.now()
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
 		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
 		Tenant: tenantName(t), KeyHash: keyHash, KeyVersion: r.keyVersion(p, keyHash), Priority: priority(t, match),
 	})
-	if limited && a.Ran() == answer.No && time.Since(taken) < quota.ReturnTerm {
+	if limited && a.Ran() == answer.No && r.now()-taken < quota.ReturnTerm {
 		r.rateLimiter.Return(t)
 	}
 	durationHistogram(match.Name()).Update(time.Since(begun).Milliseconds())
@@ -457,8 +459,13 @@
 	if len(p.Tenants()) == 0 {
 		return nil, nil, nil
 	}
-	hash := tenant.HashKey(r.dialect.TakeKey(q.Header))
+	key := r.dialect.TakeKey(q.Header)
+	hash := tenant.HashKey(key)
 	t := p.TenantByKeyHash(hash)
+	if key == "" {
+		// An empty key in the configuration is a mistake, and must not admit requests without one.
+		t = nil
+	}
 	switch {
 	case match.Public():
 		return t, nil, nil
