granter, spender: tokens of a stopping owner have a short term

Change: from its SIGTERM on an owner grants tokens for a third of the usual term; the shares are free that long after the release, and nodes change as soon as they hear of it. Test: TestOwnerLost/announces its stop, TestBound.

--- a/mesh/deregistrar/deregistrar.go
+++ b/mesh/deregistrar/deregistrar.go
@@ -31,8 +31,8 @@
 
 // shareHolder holds the shares of limits that other nodes have lent to this one.
 type shareHolder interface {
-	// ReleaseShares tells the other nodes that this one uses their shares no more.
-	ReleaseShares(ctx context.Context) error
+	// AnnounceStop prepares the other nodes for the release of their shares; it does not block.
+	AnnounceStop()
 }
 
 // Deregistrar withdraws this node from the division of limits when the node stops in order, if tenants have limits. It removes
@@ -81,9 +81,7 @@
 	}
 	if d.limitsExist() {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		if err := d.shares.ReleaseShares(call); err != nil {
-			d.log.Warn("shares of limits are not released", "error", err)
-		}
+		d.shares.AnnounceStop()
 		if err := d.registration.Deregister(call); err != nil {
 			d.log.Warn("this node's entry remains in the store", "error", err)
 		}
--- a/mesh/deregistrar/deregistrar_test.go
+++ b/mesh/deregistrar/deregistrar_test.go
@@ -13,25 +13,22 @@
 	"wisteriaspoke.example/mesh/view"
 )
 
-// fakeParts holds a configuration and counts the removals of the entry after a release of the shares.
+// fakeParts holds a configuration and counts the removals of the entry after the other nodes were told.
 type fakeParts struct {
-	plan     *plan.Plan
-	released bool
-	removed  int
+	plan      *plan.Plan
+	announced bool
+	removed   int
 }
 
 func (f *fakeParts) View() *view.View { return view.New(f.plan, time.Time{}, nil) }
 func (f *fakeParts) Deregister(context.Context) error {
-	if f.released {
+	if f.announced {
 		f.removed++
 	}
 	return errors.New("the store does not answer")
 }
 
-func (f *fakeParts) ReleaseShares(context.Context) error {
-	f.released = true
-	return nil
-}
+func (f *fakeParts) AnnounceStop() { f.announced = true }
 
 // TestDrain guards against entries of hosts that are gone, and against calls to the store of nodes that divide no limits.
 func TestDrain(t *testing.T) {
--- a/mesh/granter/granter.go
+++ b/mesh/granter/granter.go
@@ -23,6 +23,8 @@
 	terms       quota.Terms
 	incarnation uint64
 	lastStamp   uint64
+	stoppedAt   time.Duration // when the grants began to have the last term
+	stopping    bool
 	released    bool
 	shards      [quota.Shards]shard
 	counts      Counts
@@ -98,6 +100,22 @@
 	return g.shards[n].total
 }
 
+// term returns the term of the tokens in milliseconds if it is not the usual one. After a release it is that of the tokens
+// that may still be used.
+func (g *Granter) term(now time.Duration) uint32 {
+	if !g.stopping || g.released && now-g.stoppedAt < g.terms.Token+expiryMargin {
+		return 0
+	}
+	return uint32(g.terms.Last.Milliseconds())
+}
+
+// Stop shortens the terms of tokens, as this owner stops soon. The shares are then free sooner after Release.
+func (g *Granter) Stop(now time.Duration) {
+	if !g.stopping {
+		g.stopping, g.stoppedAt = true, now
+	}
+}
+
 // Release ends the use of all shares for good and returns what to tell the nodes that lent them.
 func (g *Granter) Release(now time.Duration) map[string][]*quota.Grant {
 	g.released = true
@@ -119,7 +137,7 @@
 func (g *Granter) newGrant(n uint8, l *lender, now time.Duration) *quota.Grant {
 	g.lastStamp = max(g.lastStamp+1, uint64(now/time.Microsecond))
 	return &quota.Grant{
-		Shard: n, Incarnation: g.incarnation, Stamp: g.lastStamp, Reporter: l.incarnation, Echo: l.stamp, Released: g.released,
+		Shard: n, Incarnation: g.incarnation, Stamp: g.lastStamp, Reporter: l.incarnation, Echo: l.stamp, Released: g.released, Term: g.term(now),
 	}
 }
 
--- a/mesh/quota/quota.go
+++ b/mesh/quota/quota.go
@@ -58,6 +58,8 @@
 	maxInterval   = 500 * time.Millisecond
 	shareFraction = 2
 	tokenFraction = 5
+	// lastFraction leaves time for the way of a grant from another region.
+	lastFraction = 3
 	// intervalFraction leaves time for two lost reports before the use of a share ends.
 	intervalFraction = 10
 )
@@ -69,13 +71,15 @@
 type Terms struct {
 	Share    time.Duration // from a report until the share in it may be used again by the node that lent it
 	Token    time.Duration // from a report until the tokens granted for it expire
+	Last     time.Duration // the same for tokens of an owner that stops soon
 	Interval time.Duration // between two reports
 }
 
 // Terms returns the periods, which are short against the window.
 func (b Bounds) Terms() Terms {
+	token := min(maxTokenTerm, b.Window/tokenFraction)
 	return Terms{
-		Share: min(maxShareTerm, b.Window/shareFraction), Token: min(maxTokenTerm, b.Window/tokenFraction),
+		Share: min(maxShareTerm, b.Window/shareFraction), Token: token, Last: token / lastFraction,
 		Interval: min(maxInterval, b.Window/intervalFraction),
 	}
 }
@@ -115,6 +119,7 @@
 	Echo        uint64 // the stamp of that report
 	NodeCount   uint32 // as in Report
 	Released    bool   // the owner stops and uses no share any more
+	Term        uint32 // milliseconds of validity of tokens of an owner that stops soon; 0 for the usual term
 	Gifts       []Gift
 }
 
--- a/mesh/ratelimiter/chaos_test.go
+++ b/mesh/ratelimiter/chaos_test.go
@@ -240,6 +240,17 @@
 			m.advance(300*time.Millisecond, nil)
 			owner.down = true
 		}},
+		{"announces its stop", 0, func(m *simMesh, owner *simNode) {
+			owner.granter.Stop(owner.clock(m))
+			m.advance(2300*time.Millisecond, m.arrivals("t", limit.Rate/1.6, []int{0, 1, 2, 3, 4, 5, 6, 7, 8}))
+			for address, gs := range owner.granter.Release(owner.clock(m)) {
+				for _, g := range gs {
+					m.send(owner, address, g)
+				}
+			}
+			m.advance(300*time.Millisecond, nil)
+			owner.down = true
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			m := newSimMesh(testBounds, 9, []quota.Limit{limit}, 7)
--- a/mesh/ratelimiter/mesh_test.go
+++ b/mesh/ratelimiter/mesh_test.go
@@ -192,6 +192,9 @@
 		}
 	case *quota.Grant:
 		to.spender.Handle(from.address, b, to.clock(m))
+		if b.Released {
+			to.polledAt = 0
+		}
 	}
 }
 
--- a/mesh/ratelimiter/ratelimiter.go
+++ b/mesh/ratelimiter/ratelimiter.go
@@ -27,7 +27,7 @@
 	kernel.Register("ratelimiter", 49, func() kernel.Part {
 		return &RateLimiter{
 			now: clock.Clock{}.Now, inputs: make(chan peerMessage, inputQueueSize), kick: make(chan struct{}, 1),
-			release: make(chan chan struct{}),
+			release: make(chan chan struct{}), stopping: make(chan struct{}, 1),
 		}
 	})
 }
@@ -86,16 +86,17 @@
 	Overage float64       `name:"quota-overage" help:"Part by which a tenant's requests in a window may exceed its limit." default:"0.1" env:"WISTERIASPOKE_QUOTA_OVERAGE"`
 	Slack   float64       `name:"quota-slack" help:"Requests by which a tenant may exceed its limit in a window, beside the part." default:"20" env:"WISTERIASPOKE_QUOTA_SLACK"`
 
-	now     func() time.Duration
-	log     *slog.Logger
-	cluster cluster
-	sender  peerSender
-	self    string
-	inputs  chan peerMessage
-	kick    chan struct{}      // a request waits, or tokens have run out
-	release chan chan struct{} // closed by the goroutine when the shares are released
-	spender *spender.Spender
-	started atomic.Bool
+	now      func() time.Duration
+	log      *slog.Logger
+	cluster  cluster
+	sender   peerSender
+	self     string
+	inputs   chan peerMessage
+	kick     chan struct{}      // a request waits, or tokens have run out
+	release  chan chan struct{} // closed by the goroutine when the shares are released
+	stopping chan struct{}
+	spender  *spender.Spender
+	started  atomic.Bool
 
 	// Only the goroutine of run uses the fields below.
 	granter *granter.Granter
@@ -224,9 +225,17 @@
 	return true
 }
 
-// ReleaseShares tells the nodes that lend their shares to this one that they can use them again. A stopping node does so at
-// once, as it answers requests for seconds before it ends.
-func (r *RateLimiter) ReleaseShares(ctx context.Context) error {
+// AnnounceStop shortens the terms of the tokens that this node grants, so that other owners can use its shares soon after the
+// drain. It does not block.
+func (r *RateLimiter) AnnounceStop() {
+	select {
+	case r.stopping <- struct{}{}:
+	default:
+	}
+}
+
+// Drain tells the nodes that still lend their shares to this one that they can use them again.
+func (r *RateLimiter) Drain(ctx context.Context) error {
 	if !r.started.Load() {
 		return nil
 	}
@@ -256,6 +265,8 @@
 			r.poll()
 		case <-r.kick:
 		case <-due.C:
+		case <-r.stopping:
+			r.granter.Stop(r.now())
 		case done := <-r.release:
 			for address, gs := range r.granter.Release(r.now()) {
 				for _, g := range gs {
@@ -296,6 +307,9 @@
 		r.send(from, message.New(kindGrant, g))
 	case *quota.Grant:
 		r.spender.Handle(from, b, r.now())
+		if b.Released {
+			r.poll() // changes to another owner at once
+		}
 	}
 }
 
--- a/mesh/ratelimiter/ratelimiter_test.go
+++ b/mesh/ratelimiter/ratelimiter_test.go
@@ -182,7 +182,7 @@
 		time.Sleep(10 * time.Second)
 		t.Logf("idle: %.1f messages a second, %d bytes each", float64(c.sent.Load()-before)/10, (c.bytes.Load()-bytes)/(c.sent.Load()-before))
 		for _, p := range c.parts {
-			if err := p.ReleaseShares(ctx); err != nil {
+			if err := p.Drain(ctx); err != nil {
 				t.Errorf("drain: %v", err)
 			}
 		}
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -61,6 +61,7 @@
 	loans       [quota.Shards]loan
 	startedAt   time.Duration
 	avoided     map[string]time.Duration // addresses of nodes that stop, until when
+	released    map[string]time.Duration // those that use no share any more, until when
 
 	members *membercounter.MemberCounter
 	expired uint64
@@ -123,7 +124,7 @@
 // New returns the spender of a process on the node with address self; incarnation grows with each start.
 func New(b quota.Bounds, self string, incarnation uint64, now time.Duration) *Spender {
 	s := &Spender{
-		bounds: b, terms: b.Terms(), startedAt: now, incarnation: incarnation, self: self, avoided: map[string]time.Duration{},
+		bounds: b, terms: b.Terms(), startedAt: now, incarnation: incarnation, self: self, avoided: map[string]time.Duration{}, released: map[string]time.Duration{},
 		members: membercounter.New(now),
 	}
 	s.accounts.Store(newDirectory(nil))
@@ -184,7 +185,9 @@
 
 // SetNodes sets the other nodes that are alive and returns the shards whose owner changes.
 func (s *Spender) SetNodes(alive []string, now time.Duration) []Change {
-	maps.DeleteFunc(s.avoided, func(_ string, until time.Duration) bool { return until <= now })
+	expired := func(_ string, until time.Duration) bool { return until <= now }
+	maps.DeleteFunc(s.avoided, expired)
+	maps.DeleteFunc(s.released, expired)
 	together := now < s.startedAt+s.terms.Share && s.members.StartedTogether()
 	candidates := s.seniors(alive, now)
 	var changes []Change
@@ -198,7 +201,11 @@
 			l.next, l.withdrawn, l.withdrawal = "", false, 0
 			continue
 		}
-		gone := l.owner.address != s.self && (!slices.Contains(alive, l.owner.address) || s.avoided[l.owner.address] > 0)
+		if s.avoided[l.owner.address] > 0 && s.released[l.owner.address] == 0 && l.lent && slices.Contains(alive, l.owner.address) {
+			// The owner goes on until it releases the shares, and its last tokens have a short term.
+			continue
+		}
+		gone := l.owner.address != s.self && (!slices.Contains(alive, l.owner.address) || s.released[l.owner.address] > 0)
 		alone := l.owner.address == s.self && !l.lent
 		if !gone && !alone && l.owner.address != "" && !s.withdraw(l, best, now) {
 			continue
@@ -402,9 +409,16 @@
 		return 0
 	}
 	l := &s.loans[g.Shard]
-	if g.Released {
+	if g.Released || g.Term > 0 {
 		s.avoided[from] = now + avoidFor
 	}
+	if g.Released {
+		s.released[from] = now + avoidFor
+	}
+	term := s.terms.Token
+	if g.Term > 0 {
+		term = min(term, time.Duration(g.Term)*time.Millisecond)
+	}
 	if from != l.owner.address || g.Incarnation < l.owner.incarnation ||
 		g.Incarnation == l.owner.incarnation && g.Stamp <= l.echo {
 		return 0
@@ -421,9 +435,9 @@
 	l.echo, l.answered = g.Stamp, true
 	if l.lent && (g.Released || l.withdrawal > 0 && g.Echo >= l.withdrawal) {
 		// The tokens that the owner has granted with the share expire within their term from now.
-		l.freeAt, l.lent = max(l.freeAt, now+s.terms.Token), false
+		l.freeAt, l.lent = max(l.freeAt, now+term), false
 	}
-	valid := time.Duration(g.Echo)*time.Microsecond + s.terms.Token
+	valid := time.Duration(g.Echo)*time.Microsecond + term
 	added := 0
 	as := s.accounts.Load().byShard[g.Shard]
 	for _, gift := range g.Gifts {
