--- a/mesh/chooser/even.go
+++ b/mesh/chooser/even.go
@@ -22,7 +22,7 @@
 // full and not because one of many other endpoints happens to look idle.
 var defaultEvenSettings = evenSettings{
 	sizes: [sampler.Groups]int{target.SameDataCentre: 6, target.SameRegion: 2, target.RemoteRegion: 8},
-	best:  5, near: 0.6, loadPenalty: 1, minWait: 0.1,
+	best:  5, near: 0.15, loadPenalty: 0.35, minWait: 0.1,
 }
 
 // evenGroup returns the group of an endpoint for sampling and for mean utilisations. The local endpoint belongs to those
--- a/mesh/granter/granter.go
+++ b/mesh/granter/granter.go
@@ -211,6 +211,10 @@
 	if end <= now {
 		share, end = 0, 0
 	}
+	if l.share == 0 {
+		// The rate of a share that nobody has used since its node started has not been spent.
+		s.filled += share * (time.Duration(r.Idle) * time.Millisecond).Seconds()
+	}
 	changed := share != l.share
 	l.share, l.end = share, end
 	if changed {
--- a/mesh/quota/quota.go
+++ b/mesh/quota/quota.go
@@ -94,6 +94,7 @@
 	Echo             uint64 // the stamp of that grant
 	Lent             uint32 // the node lends 1/Lent of each limit; 0 if it lends nothing
 	NodeCount        uint32 // the number of nodes among which limits are divided, or 0 if the node does not know it
+	Idle             uint32 // milliseconds for which nobody has used the share, if it is lent for the first time after a start of all nodes
 	Needs            []Need
 }
 
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -60,6 +60,7 @@
 	mutex       sync.Mutex // guards changes of accounts
 	loans       [quota.Shards]loan
 	startedAt   time.Duration
+	together    bool                     // the whole mesh has started with this process
 	avoided     map[string]time.Duration // addresses of nodes that stop, until when
 	released    map[string]time.Duration // those that use no share any more, until when
 
@@ -88,6 +89,7 @@
 	echo       uint64  // stamp of its last grant
 	lentAt     time.Duration
 	lent       bool          // lentAt is set
+	used       bool          // this process has lent its share before
 	freeAt     time.Duration // from when this node's share may be lent to owner
 	next       string        // owner to change to, or the empty string
 	changeAt   time.Duration // when to withdraw the share for that
@@ -188,12 +190,12 @@
 	expired := func(_ string, until time.Duration) bool { return until <= now }
 	maps.DeleteFunc(s.avoided, expired)
 	maps.DeleteFunc(s.released, expired)
-	together := now < s.startedAt+s.terms.Share && s.members.StartedTogether()
+	s.together = now < s.startedAt+s.terms.Share && s.members.StartedTogether()
 	candidates := s.seniors(alive, now)
 	var changes []Change
 	for i := range s.loans {
 		l := &s.loans[i]
-		if together && !l.lent && l.freeAt == s.startedAt+s.terms.Share {
+		if s.together && !l.lent && l.freeAt == s.startedAt+s.terms.Share {
 			l.freeAt = now
 		}
 		best := s.chooseOwner(uint8(i), candidates)
@@ -346,7 +348,10 @@
 		l.withdrawal = cmp.Or(l.withdrawal, r.Stamp)
 	} else if count := s.members.Count(now); count > 0 && l.echo > 0 && now >= l.freeAt {
 		r.Lent = uint32(count)
-		l.lent, l.lentAt = true, now
+		if s.together && !l.used {
+			r.Idle = uint32((now - s.startedAt).Milliseconds())
+		}
+		l.lent, l.lentAt, l.used = true, now, true
 	}
 	l.reported, l.reportedAt, l.answered = true, now, false
 	return r
