elector, gossiper: watchers of the store and relays are hosts with fast links

Cause: a watcher sends each configuration to all nodes of its region, 0.8 MB for 27 of them, which takes 0.65 s on a link of 10 Mbit/s; watchers were chosen by latency and address. After a restart of all nodes the configuration was in force 0.7 s after the start (median), and during changes in quick succession the calls of these hosts' upstreams waited behind it. Change: within a step of latency the nodes with the fastest links come first, and records go to the fastest of another region. With equal links the order is as before. Test: TestElection.

--- a/mesh/elector/elector.go
+++ b/mesh/elector/elector.go
@@ -1,6 +1,7 @@
 package elector
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 )
@@ -20,10 +21,11 @@
 	Alive          bool          // messages about it arrived recently
 	Leaving        bool          // it has said that it stops
 	Age            time.Duration // of its process
+	LinkRate       int           // millions of bits a second that the host's network link carries, or 0 if that is not known
 }
 
 // Rank returns the number of nodes that precede own as watchers of the store. Nodes that reach the store come first,
-// by latency, as store traffic between regions costs money; ties are broken by address. The others follow in the order
+// by latency, as store traffic between regions costs money; then those with the fastest links; ties are broken by address. The others follow in the order
 // of their last failures. Their state may be out of date, as only watchers call the store, so each gets its turn.
 func Rank(own Candidate, peers []Candidate) int {
 	n := 0
@@ -77,5 +79,12 @@
 	if x, y := a.StoreLatency/latencyStep, b.StoreLatency/latencyStep; a.StoreReachable && x != y {
 		return x < y
 	}
+	if x, y := LinkClass(a.LinkRate), LinkClass(b.LinkRate); x != y {
+		return x > y
+	}
 	return a.Address < b.Address
 }
+
+// LinkClass returns the number of bits of the rate of a host's link, so that links of about the same rate are equal. A watcher
+// sends each configuration to all nodes of its region, which takes most of a second on a slow link.
+func LinkClass(rate int) int { return bits.Len(uint(max(0, rate))) }
--- a/mesh/elector/elector_test.go
+++ b/mesh/elector/elector_test.go
@@ -18,6 +18,10 @@
 		c.StoreFailedAt = time.Unix(seconds, 0)
 		return c
 	}
+	linked := func(rate int, c Candidate) Candidate {
+		c.LinkRate = rate
+		return c
+	}
 	cases := []struct {
 		name  string
 		nodes []Candidate
@@ -30,6 +34,8 @@
 		{"store unreachable for all, in turn", []Candidate{
 			failed(30, node("a", false, 4, true)), failed(10, node("b", false, 4, true)), failed(20, node("c", false, 4, true)), node("d", false, 0, true)}},
 		{"one reaches the store, the others failed long ago", []Candidate{failed(10, node("a", false, 4, true)), failed(10, node("b", false, 4, true)), node("c", true, 44, true)}},
+		{"fast links first within a latency step", []Candidate{
+			linked(10, node("a", true, 4, true)), linked(200, node("c", true, 14, true)), linked(10, node("b", true, 4, true)), linked(200, node("d", true, 24, true))}},
 		{"single node", []Candidate{node("a", true, 4, true)}},
 	}
 	var out strings.Builder
--- a/mesh/gossiper/deliveries.go
+++ b/mesh/gossiper/deliveries.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"wisteriaspoke.example/mesh/elector"
 	"wisteriaspoke.example/mesh/message"
 	"wisteriaspoke.example/mesh/record"
 )
@@ -127,7 +128,8 @@
 	return regions
 }
 
-// remoteNodes returns the linked nodes of the region, in an order that differs between the nodes that ask.
+// remoteNodes returns the linked nodes of the region, those with fast links first, as they send records on to their region, and
+// otherwise in an order that differs between the nodes that ask.
 func (g *Gossiper) remoteNodes(region string) []*peer {
 	var nodes []*peer
 	for _, p := range g.peers {
@@ -136,7 +138,8 @@
 		}
 	}
 	slices.SortFunc(nodes, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(rank(g.config.Node, a.address), rank(g.config.Node, b.address)), cmp.Compare(a.address, b.address))
+		return cmp.Or(cmp.Compare(elector.LinkClass(b.status.LinkRate), elector.LinkClass(a.status.LinkRate)),
+			cmp.Compare(rank(g.config.Node, a.address), rank(g.config.Node, b.address)), cmp.Compare(a.address, b.address))
 	})
 	return nodes
 }
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -95,6 +95,12 @@
 	Load() (outstanding int, serviceTimeRatio int64)
 }
 
+// linkRateProvider provides the rate of the host's network link.
+type linkRateProvider interface {
+	// Rate returns the millions of bits a second, or 0 if that is not known.
+	Rate() float64
+}
+
 // withdrawer holds what is known of the local upstream.
 type withdrawer interface {
 	// Withdraw records that the instance's process which started at startMillis leaves, which is final; it must not block.
@@ -152,6 +158,7 @@
 	planSince        time.Time
 	own              peer // this node
 	startedAt        time.Time
+	linkRate         int // of this host, in millions of bits a second, or 0 if that is not known
 	lastSequence     uint64
 	pulledAt         time.Time            // when missing records were last pulled
 	heartbeatsSentAt time.Time            // when heartbeats were last sent to other regions
@@ -199,6 +206,9 @@
 	g.own, g.startedAt = peer{address: g.config.Node, linked: true}, g.now()
 	g.view.Store(view.New(nil, time.Time{}, nil))
 	g.nodes.Store(&[]elector.Candidate{})
+	for _, p := range kernel.All[linkRateProvider](k) {
+		g.linkRate = int(p.Rate())
+	}
 	end := make(chan error, 1)
 	go func() { end <- g.run(ctx) }()
 	return end, nil
@@ -225,7 +235,7 @@
 func (g *Gossiper) Self() elector.Candidate {
 	c := elector.Candidate{
 		Address: g.config.Node, Region: g.config.Region, Incarnation: g.config.Incarnation, StoreReachable: g.storeReachable.Load(),
-		StoreLatency: time.Duration(g.storeLatencyNanos.Load()), Alive: true,
+		StoreLatency: time.Duration(g.storeLatencyNanos.Load()), Alive: true, LinkRate: g.linkRate,
 	}
 	if failedAt := g.storeFailedAt.Load(); failedAt != nil {
 		c.StoreFailedAt = *failedAt
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -47,6 +47,7 @@
 	Endpoint              *endpoint.Endpoint // nil before the upstream announces itself
 	StoreFailureAge       int64              // milliseconds since the last failed call to the store, or negative without one
 	Age                   int64              // of the process, in milliseconds
+	LinkRate              int                // millions of bits a second that the host's link carries, or 0 if that is not known
 }
 
 // withdrawal is the message that tells a restarted node which upstream has left.
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -44,7 +44,7 @@
 		StoreReachable: p.status.StoreReachable, StoreFailedAt: p.storeFailedAt,
 		StoreLatency: time.Duration(p.status.StoreLatency) * time.Millisecond, Alive: p.reachable(now, interval),
 	}
-	c.Leaving, c.Age = p.status.Leaving, now.Sub(p.startedAt)
+	c.Leaving, c.Age, c.LinkRate = p.status.Leaving, now.Sub(p.startedAt), p.status.LinkRate
 	if p.status.Leaving {
 		return rankedLast(c, now)
 	}
--- a/mesh/gossiper/pulses.go
+++ b/mesh/gossiper/pulses.go
@@ -40,7 +40,7 @@
 		DataCentre: g.config.DataCentre, Region: g.config.Region, StoreReachable: g.storeReachable.Load(),
 		StoreLatency: time.Duration(g.storeLatencyNanos.Load()).Milliseconds(), Leaving: g.leaving.Load(),
 		ConfigurationRevision: g.records.highest[record.Configuration], OrdersRevision: g.records.highest[record.Orders],
-		StoreFailureAge: -1, Age: g.now().Sub(g.startedAt).Milliseconds(),
+		StoreFailureAge: -1, Age: g.now().Sub(g.startedAt).Milliseconds(), LinkRate: g.linkRate,
 	}
 	if failedAt := g.storeFailedAt.Load(); failedAt != nil {
 		u.StoreFailureAge = g.now().Sub(*failedAt).Milliseconds()
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -88,6 +88,9 @@
 	return nil, nil
 }
 
+// Rate returns the millions of bits a second that the host's network link carries, or 0 if that is not known.
+func (t *Throttler) Rate() float64 { return t.LinkRate }
+
 // Reserve decides whether a call may run, by the expected size of its answer. If ok is true, Send must be called with
 // the returned reservation, otherwise the call has not run and the answer is its refusal.
 func (t *Throttler) Reserve(ctx context.Context, c call.Call) (reservation int64, refusal answer.Answer, ok bool) {
