forwarder: test that a failure's memory is given back with a later answer

A large 5xx response keeps its memory until the runtime collects it, although the answer of a later send goes to the caller.

--- a/mesh/forwarder/forward_test.go
+++ b/mesh/forwarder/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,7 @@
 	"wisteriaspoke.example/mesh/estimator"
 	"wisteriaspoke.example/mesh/exchanger"
 	"wisteriaspoke.example/mesh/gauge"
+	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/quarantiner"
 	"wisteriaspoke.example/mesh/rule"
 	"wisteriaspoke.example/mesh/target"
@@ -115,6 +117,36 @@
 	goldie.New(t).Assert(t, "ends", []byte(out.String()))
 }
 
+// TestFailureGivesMemoryBack guards against the memory of an upstream's failure that is still held when the answer of a later
+// send goes to the caller.
+func TestFailureGivesMemoryBack(t *testing.T) {
+	h := holder.New(1 << 20)
+	broken := func() answer.Fields { return answer.Fields{Status: 500, Ran: answer.Yes, Hold: h.Force(100_000)} }
+	cases := [][]answer.Fields{
+		{broken(), {Status: 200, Ran: answer.Yes, Hold: h.Force(3)}},
+		{broken(), broken(), {Status: 200, Ran: answer.Yes, Hold: h.Force(3)}},
+		{broken(), broken(), {Status: 500, Ran: answer.Yes, Hold: h.Force(3)}},
+	}
+	for i, answers := range cases {
+		f, v := newForwarder(&fakeMesh{answers: answers})
+		r := rule.New(rule.Fields{Name: "r", Idempotent: true, Objective: time.Second, Attempts: 3, Services: []rule.WeightedService{{Service: "s", Weight: 1}}})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		before := h.Used()
+		a := f.Forward(ctx, v, r, call.Fields{RequestID: "q", TimeLeft: 2000})
+		cancel()
+		want := before - int64(len(answers)-1)*100_000
+		if got := h.Used(); got != want {
+			t.Errorf("case %d: %d bytes are held with the answer, not %d", i, got, want)
+		}
+		a.Hold().Release()
+		if got := h.Used(); got != want-3 {
+			t.Errorf("case %d: the answer holds %d bytes, not 3", i, want-got)
+		}
+		runtime.KeepAlive(answers)
+	}
+	runtime.KeepAlive(cases)
+}
+
 // TestStuckEndpoints guards against idempotent requests that wait until the deadline for an endpoint that is stuck, slow
 // or loses answers while others have free slots, and against second sends that are not allowed or do not help. The
 // expected service time is 300 ms, so an answer is overdue after 1,050 ms.
