pipeliner: tests of the state of callers that send requests ahead

A caller that sends requests ahead and reads what is written is taken for one that does not read: between answers, as the time counts from the first large answer on the connection; and while the rest of the answer before is still in the system's buffers, as that counts as unread bytes of the present one. Both tests fail.

--- a/mesh/pipeliner/unread_test.go
+++ b/mesh/pipeliner/unread_test.go
@@ -136,3 +136,78 @@
 		t.Errorf("the body was released %d times", h.released.Load())
 	}
 }
+
+// blockingHandler answers like sizeHandler, but requests of the path /slow only once they are let go.
+type blockingHandler struct {
+	sizeHandler
+	begun, letGo chan struct{}
+}
+
+func (h *blockingHandler) Handle(ctx context.Context, q *http.Request, body []byte, begun time.Time) *http.Response {
+	if q.URL.Path == "/slow" {
+		h.begun <- struct{}{}
+		<-h.letGo
+	}
+	return h.sizeHandler.Handle(ctx, q, body, begun)
+}
+
+// TestStateBetweenAnswers guards against a caller that sends requests ahead and has read every answer that was written, and
+// that is taken for one that does not read since the first of them.
+func TestStateBetweenAnswers(t *testing.T) {
+	const pause = 50 * time.Millisecond
+	h := &blockingHandler{sizeHandler{fakeHandler: newHandler()}, make(chan struct{}), make(chan struct{})}
+	p := &Pipeliner{Handler: h, Ahead: 4, Held: &atomic.Int64{}, MaxHeld: 1 << 20, Limit: 1 << 24}
+	c, _ := connect(t, p)
+	answers := bufio.NewReader(c)
+	io.WriteString(c, strings.Repeat("GET /slow?100000 HTTP/1.1\r\nHost: h\r\n\r\n", 2)+"GET /?100000 HTTP/1.1\r\nHost: h\r\n\r\n")
+	for range 2 {
+		<-h.begun
+	}
+	for p.unread.Load() < 100000 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(pause)
+	first := time.Now()
+	h.letGo <- struct{}{}
+	r, err := http.ReadResponse(answers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, r.Body)
+	for h.released.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(pause)
+	if s := p.State(); s.String() != "reading" || s.Since().Before(first) {
+		t.Errorf("%v since %v before the first answer was written", s, first.Sub(s.Since()))
+	}
+	h.letGo <- struct{}{}
+}
+
+// TestStateBehindAnswer guards against a caller that reads the rest of an answer from the system's buffers while the next one
+// is written, and that is taken for one that does not read.
+func TestStateBehindAnswer(t *testing.T) {
+	const buffer, first, read = 1 << 20, 300_000, 200_000
+	h := &sizeHandler{fakeHandler: newHandler()}
+	p := &Pipeliner{Handler: h, Ahead: 4, Held: &atomic.Int64{}, MaxHeld: 1 << 20, Limit: 1 << 24}
+	c, end := connect(t, p)
+	p.WriteTimeout = time.Minute
+	c.(*net.TCPConn).SetReadBuffer(buffer / 64)
+	p.Conn.(*net.TCPConn).SetWriteBuffer(buffer)
+	fmt.Fprintf(c, "GET /?%d HTTP/1.1\r\nHost: h\r\n\r\nGET /?30000000 HTTP/1.1\r\nHost: h\r\n\r\n", first)
+	for begun := time.Now(); h.released.Load() == 0 || p.writingSince.Load() == 0; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 10*time.Second {
+			t.Skip("the system's buffers do not take the first answer")
+		}
+	}
+	if _, err := io.CopyN(io.Discard, c, read); err != nil {
+		t.Fatal(err)
+	}
+	for begun := time.Now(); p.State().Read() < read/4; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > 5*time.Second {
+			t.Fatalf("%d bytes are known to be read, of %d", p.State().Read(), read)
+		}
+	}
+	p.Drop()
+	<-end
+}
