slotter: a tenant that begins to wait gets no more slots than the others

Cause: slots are counted by tenant since the queue was last empty, so that a tenant that begins to wait in a long backlog gets every slot until it has got as many as the others. Change: its count is raised to the lowest one of the tenants that wait with the same priority. TestLateTenant passes: 20 slots are divided evenly. Golden files are unchanged.

--- a/mesh/slotter/queue.go
+++ b/mesh/slotter/queue.go
@@ -24,7 +24,9 @@
 // queue holds waiting calls by priority and latest start. It is not safe for concurrent use.
 type queue struct {
 	waiters []*waiter
-	granted map[string]int // slots that each tenant's waiting calls have got since the queue was last empty
+	// granted are the slots that each tenant's waiting calls have got since the queue was last empty. A tenant that begins to
+	// wait counts as having got at least as many as the one with the fewest.
+	granted map[string]int
 }
 
 // next returns the index of the call that gets the next slot: among those of the highest priority the first one of the
@@ -58,7 +60,30 @@
 	return mean * time.Duration(q.position(w)+1) / time.Duration(max(1, slots))
 }
 
-func (q *queue) push(w *waiter) { q.waiters = slices.Insert(q.waiters, q.position(w), w) }
+func (q *queue) push(w *waiter) {
+	if q.granted != nil {
+		q.admit(w)
+	}
+	q.waiters = slices.Insert(q.waiters, q.position(w), w)
+}
+
+// admit raises the count of a tenant that begins to wait to the lowest one of the tenants that wait with the same priority.
+// Otherwise it would get all slots until it has got as many as they have during the backlog.
+func (q *queue) admit(w *waiter) {
+	lowest := -1
+	for _, other := range q.waiters {
+		if other.priority != w.priority {
+			continue
+		}
+		if other.tenant == w.tenant {
+			return
+		}
+		if n := q.granted[other.tenant]; lowest < 0 || n < lowest {
+			lowest = n
+		}
+	}
+	q.granted[w.tenant] = max(q.granted[w.tenant], lowest)
+}
 
 // pop removes the call that gets the next slot.
 func (q *queue) pop() *waiter {
