forwarder: give back a failure's memory when a later answer replaces it

Cause: the last 5xx response of an upstream is kept in case that no later send gets an answer, and its memory was not released when one did. It was released by the runtime's next collection only, and meanwhile refused other large answers. Change: an answer that ran replaces the failure, and releases it.

--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -484,11 +484,24 @@
 // recordOutcome keeps whether the request may have run, and the last failure of an upstream.
 func (q *request) recordOutcome(a answer.Answer) {
 	q.mayHaveRun = q.mayHaveRun || a.Ran() != answer.No
-	if a.Ran() == answer.Yes && a.Status() >= http.StatusInternalServerError {
+	if a.Ran() != answer.Yes {
+		return
+	}
+	// The answer before this one is not returned any more.
+	q.releaseFailure()
+	q.upstreamFailure = nil
+	if a.Status() >= http.StatusInternalServerError {
 		q.upstreamFailure = &a
 	}
 }
 
+// releaseFailure gives back the memory of the last failure of an upstream.
+func (q *request) releaseFailure() {
+	if q.upstreamFailure != nil {
+		q.upstreamFailure.Hold().Release()
+	}
+}
+
 // fail ends a request that gets no further send. It returns the last 5xx response of an upstream if there is one, else
 // a refusal or failure made from a. A refusal of the last send does not prove that earlier sends did not run.
 func (f *Forwarder) fail(q *request, a answer.Answer) answer.Answer {
