--- a/mesh/forwarder/forward_test.go
+++ b/mesh/forwarder/forward_test.go
@@ -129,7 +129,9 @@
 	}
 	for i, answers := range cases {
 		f, v := newForwarder(&fakeMesh{answers: answers})
-		r := rule.New(rule.Fields{Name: "r", Idempotent: true, Objective: time.Second, Attempts: 3, Services: []rule.WeightedService{{Service: "s", Weight: 1}}})
+		r := rule.New(rule.Fields{
+			Name: "r", Idempotent: true, Objective: time.Second, Attempts: 3, Services: []rule.WeightedService{{Service: "s", Weight: 1}},
+		})
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		before := h.Used()
 		a := f.Forward(ctx, v, r, call.Fields{RequestID: "q", TimeLeft: 2000})
--- a/mesh/pipeliner/unread_test.go
+++ b/mesh/pipeliner/unread_test.go
@@ -154,7 +154,8 @@
 // that is taken for one that does not read since the first of them.
 func TestStateBetweenAnswers(t *testing.T) {
 	const pause = 50 * time.Millisecond
-	h := &blockingHandler{sizeHandler{fakeHandler: newHandler()}, map[string]chan struct{}{"/first": make(chan struct{}), "/second": make(chan struct{})}}
+	letGo := map[string]chan struct{}{"/first": make(chan struct{}), "/second": make(chan struct{})}
+	h := &blockingHandler{sizeHandler{fakeHandler: newHandler()}, letGo}
 	p := &Pipeliner{Handler: h, Ahead: 4, Held: &atomic.Int64{}, MaxHeld: 1 << 20, Limit: 1 << 24}
 	c, _ := connect(t, p)
 	answers := bufio.NewReader(c)
@@ -166,7 +167,7 @@
 	}
 	time.Sleep(pause)
 	first := time.Now()
-	close(h.letGo["/first"])
+	close(letGo["/first"])
 	r, err := http.ReadResponse(answers, nil)
 	if err != nil {
 		t.Fatal(err)
@@ -179,7 +180,7 @@
 	if s := p.State(); s.String() != "reading" || s.Since().Before(first) {
 		t.Errorf("%v since %v before the first answer was written", s, first.Sub(s.Since()))
 	}
-	close(h.letGo["/second"])
+	close(letGo["/second"])
 }
 
 // TestStateBehindAnswer guards against a caller that reads the rest of an answer from the system's buffers while the next one
