--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -210,7 +210,7 @@
 		}
 		t := choice.Target()
 		maxWait := choice.MaxWait()
-		if choice.NoAlternative() || len(q.tried) == maxSends-1 {
+		if choice.NoAlternative() || f.Even && len(q.tried) == maxSends-1 {
 			// 0 means no wait limit of its own: only the deadline and the latest start limit the wait. The last send has no
 			// other endpoint to go to, and a refusal of it would end the request although there is time left.
 			maxWait = 0
