answer, tenant, chooser: one piece of code for what was written two or three times

Which status a final response can have was decided in exchanger, linker and storer: answer.PossibleStatus. Which tenants have a limit was decided in deregistrar, ratelimiter and receiver: Tenant.Limited. The expected service time with its factor for warm-up stood twice in chooser. The service time of the even choice is rounded to the nanosecond before that factor now, not after it; nothing else changes, and no test.

--- a/mesh/answer/answer.go
+++ b/mesh/answer/answer.go
@@ -20,6 +20,15 @@
 	Yes   Ran = "yes"   // ran: a complete response arrived
 )
 
+// lowestStatus and highestStatus bound the status of a response that is not an interim one.
+const (
+	lowestStatus  = 200
+	highestStatus = 599
+)
+
+// PossibleStatus reports whether a response that is not an interim one can have the status.
+func PossibleStatus(status int) bool { return status >= lowestStatus && status <= highestStatus }
+
 // Answer is an immutable response or refusal.
 type Answer struct {
 	f Fields
--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -112,7 +112,7 @@
 	for _, t := range in.Targets {
 		_, othersCalls, weight := t.Gauge().Load(in.Now)
 		used += weight * othersCalls
-		slots += weight * capacity(t.Endpoint(), serviceTime(t, in))
+		slots += weight * capacity(t.Endpoint(), serviceTime(t, in, t.Gauge().ServiceTimeRatio()))
 	}
 	if slots == 0 {
 		return 0
@@ -120,9 +120,9 @@
 	return used / slots
 }
 
-// serviceTime returns the expected service time of the call at the endpoint.
-func serviceTime(t *target.Target, in Input) time.Duration {
-	service := time.Duration(float64(in.ExpectedServiceTime) * t.Gauge().ServiceTimeRatio())
+// serviceTime returns the expected service time of the call at the endpoint with the service time ratio.
+func serviceTime(t *target.Target, in Input, ratio float64) time.Duration {
+	service := time.Duration(float64(in.ExpectedServiceTime) * ratio)
 	if t.Endpoint().WarmupEnd().After(in.Now) {
 		service = time.Duration(float64(service) * warmupFactor)
 	}
@@ -141,7 +141,7 @@
 
 // scoreTarget returns the terms of the endpoint's score; utilisation is assumed where the load report is old or missing.
 func scoreTarget(t *target.Target, in Input, utilisation float64) Score {
-	service := serviceTime(t, in)
+	service := serviceTime(t, in, t.Gauge().ServiceTimeRatio())
 	slots := capacity(t.Endpoint(), service)
 	own, othersCalls, weight := t.Gauge().Load(in.Now)
 	return scoreLoad(t, in, service, slots, own+weight*othersCalls+(1-weight)*utilisation*slots, fullLoadPenalty)
--- a/mesh/chooser/even.go
+++ b/mesh/chooser/even.go
@@ -31,11 +31,7 @@
 
 // evenServiceTime returns the expected service time of the call at the endpoint.
 func evenServiceTime(t *target.Target, in Input) time.Duration {
-	service := float64(in.ExpectedServiceTime) * t.Gauge().SteadyRatio()
-	if t.Endpoint().WarmupEnd().After(in.Now) {
-		service *= warmupFactor
-	}
-	return time.Duration(service)
+	return serviceTime(t, in, t.Gauge().SteadyRatio())
 }
 
 // choose returns one of the best of a few endpoints that it draws at random. All nodes choose with old reports of
--- a/mesh/deregistrar/deregistrar.go
+++ b/mesh/deregistrar/deregistrar.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/tenant"
 	"wisteriaspoke.example/mesh/view"
 )
 
@@ -94,13 +96,5 @@
 // limitsExist reports whether a tenant has a limit that the nodes divide.
 func (d *Deregistrar) limitsExist() bool {
 	p := d.views.View().Plan()
-	if p == nil {
-		return false
-	}
-	for _, t := range p.Tenants() {
-		if t.RatePerSecond() > 0 {
-			return true
-		}
-	}
-	return false
+	return p != nil && slices.ContainsFunc(p.Tenants(), (*tenant.Tenant).Limited)
 }
--- a/mesh/exchanger/exchanger.go
+++ b/mesh/exchanger/exchanger.go
@@ -34,9 +34,6 @@
 	earlyResponseBodyBytes = 4 << 10
 	// maxResponsesRead is the number of responses to other requests after which the connection is abandoned.
 	maxResponsesRead = 4
-	// minStatus and maxStatus bound the status of a response that is not an interim one.
-	minStatus = http.StatusOK
-	maxStatus = 599
 )
 
 // Reasons of answers that are not a response of the upstream.
@@ -283,7 +280,7 @@
 	if err != nil {
 		return readFailure(err), false, false
 	}
-	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+	if !answer.PossibleStatus(r.StatusCode) {
 		return invalidResponse(), false, false
 	}
 	body, hold, err := x.readBody(ctx, conn, r)
@@ -335,7 +332,7 @@
 func readFinalHead(conn *connection, method string) (*http.Response, error) {
 	for {
 		r, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
-		if err != nil || r.StatusCode < http.StatusContinue || r.StatusCode >= minStatus || r.StatusCode == http.StatusSwitchingProtocols {
+		if err != nil || r.StatusCode < http.StatusContinue || r.StatusCode >= http.StatusOK || r.StatusCode == http.StatusSwitchingProtocols {
 			return r, err
 		}
 	}
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -69,7 +69,7 @@
 		f.hold.Release()
 		return nil
 	}
-	if a.Ran() == answer.Yes && (a.Status() < http.StatusOK || a.Status() > maxStatus) {
+	if a.Ran() == answer.Yes && !answer.PossibleStatus(a.Status()) {
 		f.hold.Release()
 		f.hold = nil
 		a = answer.New(answer.Fields{Status: http.StatusBadGateway, Ran: answer.Maybe, Reason: reasonStatus, Retried: a.Retried()})
@@ -152,9 +152,6 @@
 	return l.owner.server.Serve(ctx, c)
 }
 
-// maxStatus is the highest status that a response can have.
-const maxStatus = 599
-
 // Reasons for refusals.
 const (
 	reasonBusy     = "busy"     // too many calls of other nodes are running here
--- a/mesh/ratelimiter/ratelimiter.go
+++ b/mesh/ratelimiter/ratelimiter.go
@@ -155,7 +155,7 @@
 // A late request has missed its latency objective. While the tenant's tokens are short, it gets none: requests would wait
 // for each other in turn until all of them are late.
 func (r *RateLimiter) Take(ctx context.Context, t *tenant.Tenant, late bool) (retryAfter time.Duration, ok bool) {
-	if t.RatePerSecond() <= 0 {
+	if !t.Limited() {
 		return 0, true
 	}
 	a := r.spender.Existing(t.Name())
@@ -389,7 +389,7 @@
 	}
 	var ls []quota.Limit
 	for _, t := range p.Tenants() {
-		if t.RatePerSecond() > 0 {
+		if t.Limited() {
 			ls = append(ls, limitOf(t))
 		}
 	}
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -405,7 +405,7 @@
 	defer cancel()
 	// A request that began before the drain may have a later deadline.
 	defer context.AfterFunc(r.ending, cancel)()
-	limited := t != nil && keyHash != nil && t.RatePerSecond() > 0
+	limited := t != nil && keyHash != nil && t.Limited()
 	if limited {
 		late := r.forwarder.Elapsed(match, timeLeft) >= match.Objective() && match.Objective() > 0
 		if wait, ok := r.rateLimiter.Take(ctx, t, late); !ok {
--- a/mesh/tenant/tenant.go
+++ b/mesh/tenant/tenant.go
@@ -34,6 +34,9 @@
 // RatePerSecond returns the requests a second that the tenant may make on all nodes together, or 0 for no limit.
 func (t *Tenant) RatePerSecond() float64 { return t.f.RatePerSecond }
 
+// Limited reports whether the tenant's requests are limited.
+func (t *Tenant) Limited() bool { return t.f.RatePerSecond > 0 }
+
 // Burst returns the requests that the tenant may make beyond its rate.
 func (t *Tenant) Burst() float64 { return t.f.Burst }
 
