spender: nodes change from a stopping owner before it releases the shares

Cause: nodes waited for the release of the shares and only then lent them to the next owner, whose first response told them to wait 500 ms. In a change between two owners that are alive, each node asked the owner that had its own share, so the first and the last nodes asked owners with nearly no shares.

Change: a node has a relation with both owners during a change. It withdraws its share at a time of its own within the spread, which is 1 s for an owner that has said that it stops. All nodes ask the former owner until the middle of the change and the next one after it. The wait in the first response of a successor is ignored, and a report is due when the share becomes free.

--- a/mesh/ratelimiter/load_test.go
+++ b/mesh/ratelimiter/load_test.go
@@ -133,3 +133,72 @@
 		}
 	}
 }
+
+// stopInOrder makes a node stop as in a rolling restart, during which requests go on, and start again.
+func (m *simMesh) stopInOrder(n *simNode, load func()) {
+	const drain, end, pause = 2100 * time.Millisecond, 450 * time.Millisecond, 600 * time.Millisecond
+	n.granter.Stop(n.clock(m))
+	m.advance(drain, load)
+	for address, gs := range n.granter.Release(n.clock(m)) {
+		for _, g := range gs {
+			m.send(n, address, g)
+		}
+	}
+	n.leaving = true
+	m.advance(end, load)
+	n.down = true
+	m.advance(pause, load)
+	m.start(n)
+}
+
+// TestRollingRestart answers the load "each owner stops in order, one after the other, and starts again": the tenants of its
+// shard have to go on with nearly all of their requests.
+func TestRollingRestart(t *testing.T) {
+	var ls []quota.Limit
+	for i, rate := range []float64{277, 121, 75, 53, 41, 33, 27, 23, 20, 18, 16, 15, 13, 12, 11} {
+		ls = append(ls, quota.Limit{Name: fmt.Sprintf("tenant-%d", i), Rate: rate, Burst: rate})
+	}
+	for seed := range uint64(3) {
+		m := newSimMesh(testBounds, 24, ls, seed)
+		m.advance(settle, nil)
+		load := all(usualLoad(m))
+		m.advance(2*time.Second, load)
+		began, owners := m.now, 0
+		for range 8 {
+			stopped := m.owner(uint8(owners % quota.Shards))
+			if stopped == nil {
+				t.Fatalf("seed %d: nobody uses the shares of shard %d", seed, owners%quota.Shards)
+			}
+			owners++
+			m.stopInOrder(stopped, load)
+			m.advance(time.Second, load)
+		}
+		ran, refused := 0, 0
+		for _, l := range ls {
+			ran += between(m.runs[l.Name], began, m.now)
+			refused += between(m.wrong[l.Name], began, m.now)
+			if over, at := m.excess(l.Name, func(_, _ time.Duration) quota.Limit { return l }); over > 0 {
+				t.Errorf("seed %d: %s ran %.0f requests above the bound until %v", seed, l.Name, over, at)
+			}
+		}
+		t.Logf("seed %d: %d owners stopped in %v: %d ran, %d below the limit were refused", seed, owners, m.now-began, ran, refused)
+		if refused*20 > ran {
+			t.Errorf("seed %d: %d requests below the limit were refused, %d ran", seed, refused, ran)
+		}
+	}
+}
+
+// owner returns the node that uses most of the shares of a shard, or nil if none uses any.
+func (m *simMesh) owner(shard uint8) *simNode {
+	var owner *simNode
+	most := 0.0
+	for _, n := range m.nodes {
+		if !n.runs(m) {
+			continue
+		}
+		if share := n.granter.Share(shard, n.clock(m)); share > most {
+			owner, most = n, share
+		}
+	}
+	return owner
+}
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -41,6 +41,8 @@
 	// changeSpread is the time over which the nodes change to an owner that has come back. The former one goes on
 	// meanwhile, so the tenants of the shard never have to do without most of their shares.
 	changeSpread = 5 * time.Second
+	// leaveSpread is the same for the change from an owner that has said that it stops, which ends some two seconds later.
+	leaveSpread = 1000 * time.Millisecond
 	// seniorSlack is added to the age of each node that may be an owner, so that nodes agree on the candidates after a start of
 	// the whole mesh, when ages are as long as the time that it takes to learn them.
 	seniorSlack = 2 * time.Second
@@ -83,24 +85,60 @@
 	return d
 }
 
-// loan is what this node has to do with the owner of one shard.
-type loan struct {
+// relation is what this node and one owner have told each other.
+type relation struct {
 	owner      process // incarnation 0 before its first grant
 	echo       uint64  // stamp of its last grant
+	reportedAt time.Duration
+	reported   bool
+	answered   bool
+	dueAt      time.Duration
+	successor  bool // another owner has granted tokens before
+}
+
+// loan is what this node has to do with the owners of one shard. There are two of them while the owner changes.
+type loan struct {
+	relation   // with the owner that is asked for tokens until askAt
 	lentAt     time.Duration
 	lent       bool          // lentAt is set
 	used       bool          // this process has lent its share before
-	freeAt     time.Duration // from when this node's share may be lent to owner
-	next       string        // owner to change to, or the empty string
+	freeAt     time.Duration // from when this node's share may be lent
+	next       *relation     // with the owner to change to, or nil
 	changeAt   time.Duration // when to withdraw the share for that
-	withdrawn  bool          // the share is not lent to owner any more
+	askAt      time.Duration // when to ask the next owner for tokens
+	withdrawn  bool          // the share is not lent to the former owner any more
 	withdrawal uint64        // stamp of the first report that said so, or 0
-	reportedAt time.Duration
-	reported   bool
-	answered   bool
-	dueAt      time.Duration
+	moved      bool          // the share is lent to the next owner
 }
 
+// asked returns the relation with the owner that is asked for tokens.
+func (l *loan) asked(now time.Duration) *relation {
+	if l.next != nil && now >= l.askAt && l.next.echo > 0 {
+		return l.next
+	}
+	return &l.relation
+}
+
+// relations returns the relations with all owners of the shard.
+func (l *loan) relations() []*relation {
+	if l.next != nil {
+		return []*relation{&l.relation, l.next}
+	}
+	return []*relation{&l.relation}
+}
+
+// holds reports whether the owner is the one that has this node's share, or is to get it.
+func (l *loan) holds(r *relation) bool { return (r == l.next) == l.withdrawn }
+
+// arrive ends a change to the next owner.
+func (l *loan) arrive() {
+	l.relation = *l.next
+	l.cancel()
+}
+
+// cancel forgets the next owner.
+func (l *loan) cancel() { l.next, l.withdrawn, l.withdrawal, l.moved = nil, false, 0, false }
+
 // Outgoing is a report and the node that it is for.
 type Outgoing struct {
 	Owner  string
@@ -199,40 +237,61 @@
 			l.freeAt = now
 		}
 		best := s.chooseOwner(uint8(i), candidates)
-		if best == l.owner.address {
-			l.next, l.withdrawn, l.withdrawal = "", false, 0
-			continue
+		usable := func(owner string) bool {
+			return owner == s.self || slices.Contains(alive, owner) && s.released[owner] == 0
 		}
-		if s.avoided[l.owner.address] > 0 && s.released[l.owner.address] == 0 && l.lent && slices.Contains(alive, l.owner.address) {
-			// The owner goes on until it releases the shares, and its last tokens have a short term.
-			continue
+		if l.next != nil && !usable(l.next.owner.address) {
+			s.abandonChange(l)
 		}
-		gone := l.owner.address != s.self && (!slices.Contains(alive, l.owner.address) || s.released[l.owner.address] > 0)
-		alone := l.owner.address == s.self && !l.lent
-		if !gone && !alone && l.owner.address != "" && !s.withdraw(l, best, now) {
-			continue
+		from := l.owner.address
+		switch alone := from == s.self && !l.lent && l.next == nil; {
+		case from == best && !l.withdrawn:
+			l.cancel()
+		case from != "" && usable(from) && !alone:
+			s.change(l, best, now)
+		case l.next != nil:
+			// The former owner is gone, and with it the share unless the next one has it already.
+			if l.lent && !l.moved {
+				l.freeAt, l.lent = max(l.freeAt, l.lentAt+s.terms.Share), false
+			}
+			l.arrive()
+		default:
+			s.changeOwner(l, best, now)
+		}
+		if l.owner.address != from {
+			changes = append(changes, Change{Shard: uint8(i), Owner: l.owner.address, From: from})
 		}
-		changes = append(changes, Change{Shard: uint8(i), Owner: best, From: l.owner.address})
-		s.changeOwner(l, best, now)
 	}
 	return changes
 }
 
-// withdraw withdraws the share from an owner that is alive before the change to the next one, and reports whether it may
-// be lent again. Until then the node gets its tokens from the former owner, which has the shares of the nodes that have
-// not changed yet.
-func (s *Spender) withdraw(l *loan, next string, now time.Duration) bool {
-	if l.next != next {
+// change goes on with the change to the next owner while the former one is alive. At different times the nodes withdraw
+// their shares and lend them to the next owner, and half-way they all ask that one for tokens: both owners then have
+// about half of the shares, which is more than either would have for the first or the last nodes that change.
+func (s *Spender) change(l *loan, next string, now time.Duration) {
+	if l.next == nil || l.next.owner.address != next && !l.withdrawn {
+		spread, term := changeSpread, s.terms.Token
+		if s.avoided[l.owner.address] > 0 {
+			spread, term = leaveSpread, s.terms.Last
+		}
 		part := float64(xxhash.Sum64String(s.self+" changes "+next)) / math.MaxUint64
-		l.next, l.changeAt = next, now+time.Duration(part*float64(changeSpread))
-	}
-	if now < l.changeAt {
-		return false
+		l.next = &relation{owner: process{address: next}, dueAt: now, successor: true}
+		l.changeAt, l.askAt = now+time.Duration(part*float64(spread)), now+(spread+term)/2
 	}
-	if !l.withdrawn {
+	switch {
+	case !l.withdrawn && now >= l.changeAt:
 		l.withdrawn, l.withdrawal, l.dueAt = true, 0, now
+	case l.moved && now >= l.askAt:
+		l.arrive()
 	}
-	return !l.lent && now >= l.freeAt
+}
+
+// abandonChange ends a change whose next owner is gone.
+func (s *Spender) abandonChange(l *loan) {
+	if l.moved && l.lent {
+		l.freeAt, l.lent = max(l.freeAt, l.lentAt+s.terms.Share), false
+	}
+	l.cancel()
 }
 
 // seniors returns the nodes that may be owners: those that do not stop and have run at least half as long as the oldest of
@@ -271,9 +330,8 @@
 	if l.lent {
 		l.freeAt = max(l.freeAt, l.lentAt+s.terms.Share)
 	}
-	l.owner, l.echo, l.lent = process{address: owner}, 0, false
-	l.next, l.withdrawn, l.withdrawal = "", false, 0
-	l.reported, l.dueAt = false, now
+	l.relation, l.lent = relation{owner: process{address: owner}, dueAt: now, successor: l.echo > 0}, false
+	l.cancel()
 }
 
 // Due returns the reports that are due.
@@ -285,9 +343,11 @@
 	var out []Outgoing
 	for i := range s.loans {
 		l := &s.loans[i]
-		if l.owner.address != "" && s.due(uint8(i), as.byShard[i]) <= now {
-			if r := s.report(uint8(i), as.byShard[i], now); r != nil {
-				out = append(out, Outgoing{Owner: l.owner.address, Report: r})
+		for _, r := range l.relations() {
+			if r.owner.address != "" && due(l, r, as.byShard[i], now) <= now {
+				if q := s.report(uint8(i), r, as.byShard[i], now); q != nil {
+					out = append(out, Outgoing{Owner: r.owner.address, Report: q})
+				}
 			}
 		}
 	}
@@ -299,25 +359,31 @@
 	as := s.accounts.Load()
 	next := now + s.terms.Interval
 	for i := range s.loans {
-		if len(as.byShard[i]) > 0 {
-			next = min(next, s.due(uint8(i), as.byShard[i]))
+		l := &s.loans[i]
+		if len(as.byShard[i]) == 0 {
+			continue
+		}
+		for _, r := range l.relations() {
+			next = min(next, due(l, r, as.byShard[i], now))
 		}
 	}
 	return next
 }
 
-// due returns when the next report of a shard is due.
-func (s *Spender) due(n uint8, as []*Account) time.Duration {
-	l := &s.loans[n]
-	at := l.dueAt
+// due returns when the next report of a shard to an owner is due.
+func due(l *loan, r *relation, as []*Account, now time.Duration) time.Duration {
+	at := r.dueAt
+	if r != l.asked(now) {
+		return at
+	}
 	for _, a := range as {
 		switch {
-		case a.urgent.Load() && (l.answered || !l.reported):
-			at = min(at, l.reportedAt+coalesceFor)
+		case a.urgent.Load() && (r.answered || !r.reported):
+			at = min(at, r.reportedAt+coalesceFor)
 		case a.urgent.Load():
-			at = min(at, l.reportedAt+unansweredPause)
+			at = min(at, r.reportedAt+unansweredPause)
 		case a.low.Load():
-			at = min(at, max(l.reportedAt+lowInterval, time.Duration(a.emptyTill.Load())))
+			at = min(at, max(r.reportedAt+lowInterval, time.Duration(a.emptyTill.Load())))
 		}
 	}
 	return at
@@ -328,37 +394,46 @@
 	return s.lastStamp
 }
 
-// report makes a shard's report, or returns nil if no tenant is in the shard.
-func (s *Spender) report(n uint8, as []*Account, now time.Duration) *quota.Report {
+// report makes a shard's report to an owner, or returns nil if no tenant is in the shard.
+func (s *Spender) report(n uint8, r *relation, as []*Account, now time.Duration) *quota.Report {
 	if len(as) == 0 {
 		return nil
 	}
 	l := &s.loans[n]
-	r := &quota.Report{
-		Shard: n, Incarnation: s.incarnation, Stamp: s.stamp(now), OwnerIncarnation: l.owner.incarnation, Echo: l.echo,
+	q := &quota.Report{
+		Shard: n, Incarnation: s.incarnation, Stamp: s.stamp(now), OwnerIncarnation: r.owner.incarnation, Echo: r.echo,
 		NodeCount: uint32(s.members.Known(now)),
 	}
-	for _, a := range as {
-		if need, needed := s.need(a, l, now); needed {
-			r.Needs = append(r.Needs, need)
+	if r == l.asked(now) {
+		for _, a := range as {
+			if need, needed := s.need(a, r, now); needed {
+				q.Needs = append(q.Needs, need)
+			}
 		}
 	}
-	l.dueAt = now + s.terms.Interval
-	if l.withdrawn {
-		l.withdrawal = cmp.Or(l.withdrawal, r.Stamp)
-	} else if count := s.members.Count(now); count > 0 && l.echo > 0 && now >= l.freeAt {
-		r.Lent = uint32(count)
+	r.dueAt = now + s.terms.Interval
+	switch count := s.members.Count(now); {
+	case !l.holds(r):
+		if l.withdrawn {
+			l.withdrawal = cmp.Or(l.withdrawal, q.Stamp)
+		}
+	case l.withdrawn && l.lent && !l.moved:
+		// The former owner has not confirmed the withdrawal yet.
+	case now < l.freeAt:
+		r.dueAt = min(r.dueAt, l.freeAt)
+	case count > 0 && r.echo > 0:
+		q.Lent = uint32(count)
 		if s.together && !l.used {
-			r.Idle = uint32((now - s.startedAt).Milliseconds())
+			q.Idle = uint32((now - s.startedAt).Milliseconds())
 		}
-		l.lent, l.lentAt, l.used = true, now, true
+		l.lent, l.lentAt, l.used, l.moved = true, now, true, r == l.next
 	}
-	l.reported, l.reportedAt, l.answered = true, now, false
-	return r
+	r.reported, r.reportedAt, r.answered = true, now, false
+	return q
 }
 
 // need returns what the report says about one tenant, and whether it has to.
-func (s *Spender) need(a *Account, l *loan, now time.Duration) (quota.Need, bool) {
+func (s *Spender) need(a *Account, r *relation, now time.Duration) (quota.Need, bool) {
 	a.urgent.Store(false)
 	a.low.Store(false)
 	waiting := a.waiting()
@@ -376,7 +451,7 @@
 	if int64(now) >= a.expiry.Load() {
 		s.expired += a.drop()
 	}
-	if a.owner == l.owner {
+	if a.owner == r.owner {
 		unused, held := a.giveUp(int64(want))
 		need.Unused, need.Held = uint32(unused), uint32(held)
 	}
@@ -413,7 +488,6 @@
 	if g.Shard >= quota.Shards || g.Reporter != s.incarnation || g.Echo > s.lastStamp {
 		return 0
 	}
-	l := &s.loans[g.Shard]
 	if g.Released || g.Term > 0 {
 		s.avoided[from] = now + avoidFor
 	}
@@ -424,23 +498,33 @@
 	if g.Term > 0 {
 		term = min(term, time.Duration(g.Term)*time.Millisecond)
 	}
-	if from != l.owner.address || g.Incarnation < l.owner.incarnation ||
-		g.Incarnation == l.owner.incarnation && g.Stamp <= l.echo {
+	l := &s.loans[g.Shard]
+	r := &l.relation
+	if l.next != nil && l.next.owner.address == from {
+		r = l.next
+	}
+	if from != r.owner.address || g.Incarnation < r.owner.incarnation ||
+		g.Incarnation == r.owner.incarnation && g.Stamp <= r.echo {
 		return 0
 	}
 	s.members.Hear(int(g.NodeCount), now)
-	if g.Incarnation > l.owner.incarnation {
-		if l.lent {
+	lentHere := l.lent && l.moved == (r == l.next)
+	if g.Incarnation > r.owner.incarnation {
+		if lentHere {
 			// The process that used the share has ended.
 			l.freeAt, l.lent = max(l.freeAt, min(l.lentAt+s.terms.Share, now+s.terms.Token)), false
 		}
-		l.owner.incarnation = g.Incarnation
-		l.dueAt = min(l.dueAt, now+coalesceFor)
+		r.owner.incarnation = g.Incarnation
+		r.dueAt = min(r.dueAt, now+coalesceFor)
 	}
-	l.echo, l.answered = g.Stamp, true
-	if l.lent && (g.Released || l.withdrawal > 0 && g.Echo >= l.withdrawal) {
+	first := r.echo == 0
+	r.echo, r.answered = g.Stamp, true
+	if lentHere && l.lent && (g.Released || r != l.next && l.withdrawal > 0 && g.Echo >= l.withdrawal) {
 		// The tokens that the owner has granted with the share expire within their term from now.
 		l.freeAt, l.lent = max(l.freeAt, now+term), false
+		if l.next != nil {
+			l.next.dueAt = min(l.next.dueAt, l.freeAt)
+		}
 	}
 	valid := time.Duration(g.Echo)*time.Microsecond + term
 	added := 0
@@ -448,7 +532,11 @@
 	for _, gift := range g.Gifts {
 		for _, a := range as {
 			if a.id == gift.ID {
-				added += s.add(a, l, gift, valid, now)
+				if first && r.successor {
+					// The shares of this node and of others are on their way to this owner.
+					gift.Wait = 0
+				}
+				added += s.add(a, r, gift, valid, now)
 			}
 		}
 	}
@@ -456,17 +544,17 @@
 }
 
 // add adds the tokens of a gift to an account.
-func (s *Spender) add(a *Account, l *loan, gift quota.Gift, valid, now time.Duration) int {
+func (s *Spender) add(a *Account, r *relation, gift quota.Gift, valid, now time.Duration) int {
 	if int64(now) >= a.expiry.Load() {
 		s.expired += a.drop()
 	}
-	if a.owner != l.owner {
+	if a.owner != r.owner {
 		if gift.Tokens == 0 && a.tokens.Load() > 0 {
 			// The tokens of the former owner are used first.
 			gift.Renewed = false
 		} else {
 			s.expired += a.drop()
-			a.owner = l.owner
+			a.owner = r.owner
 			a.expiry.Store(int64(valid))
 		}
 	}
@@ -482,7 +570,7 @@
 	if gift.Wait > 0 {
 		till = now + time.Duration(gift.Wait)*time.Millisecond
 		a.ownRate.Store(math.Float64bits(float64(gift.Rate) / 1000))
-		l.dueAt = min(l.dueAt, till)
+		r.dueAt = min(r.dueAt, till)
 	}
 	a.emptyTill.Store(int64(till))
 	a.serve(now)
