forwarder, receiver: calls of runs come before new requests

Cause: such calls have an objective of 120 ms, and their sends waited 10 ms for a slot at an endpoint whose slots are free every 70 ms. The tenant of a request could also go before them, as its priority may be 0.

Change: where the configuration has tenants, a request without a key on a public route is a call of a run. It has the highest priority, waits until its deadline leaves no time for the answer instead of its objective, and each send waits for 0.4 of that time.

--- a/mesh/call/call.go
+++ b/mesh/call/call.go
@@ -49,6 +49,10 @@
 	CrashCount          crashcount.Count `cbor:"25,keyasint,omitempty"` // of the request, as known where it was sent
 	KeyHash             []byte           `cbor:"26,keyasint,omitempty"` // of the tenant's key; empty if the route needs none
 	KeyVersion          uint64           `cbor:"27,keyasint,omitempty"` // of the configuration that has the key; 0 if keys are not checked again
+
+	// Nested says that an upstream makes the call while it runs another one. The nodes that send a call need to know; its
+	// priority and its times say enough where it runs.
+	Nested bool `cbor:"-"`
 }
 
 // New returns a call with the fields, whose slices must not be changed afterwards.
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -42,6 +42,8 @@
 	// reservedServiceTimeFactor is the multiple of the service time that is reserved for the upstream when a call may
 	// wait for a slot: four in five calls take less.
 	reservedServiceTimeFactor = 1.5
+	// nestedWaitFraction is the fraction of the time until its latest start for which one send of a nested call may wait.
+	nestedWaitFraction = 0.4
 	// defaultRetryAfter is the Retry-After of refusals without a known wait, and its minimum if all endpoints refused.
 	defaultRetryAfter = 250 * time.Millisecond
 	// retryBudgetFraction is the fraction of the mesh's retry budget that is used. The rest is a margin, as the nodes'
@@ -183,7 +185,7 @@
 	upstreamFailure     *answer.Answer   // the last response of an upstream with a 5xx status
 	expectedServiceTime time.Duration
 	started             time.Time
-	objectiveEnd        time.Time // end of the latency objective, counted from the caller's first attempt
+	answerBy            time.Time // end of the latency objective, counted from the caller's first attempt; the deadline of a nested call
 }
 
 // Forward sends the request to an endpoint of the rule's service and returns the final answer. ctx ends at the deadline
@@ -192,7 +194,11 @@
 func (f *Forwarder) Forward(ctx context.Context, v *view.View, r *rule.Rule, c call.Fields) answer.Answer {
 	q := &request{rule: r, service: r.PickService(f.random), view: v, fields: c, started: time.Now()}
 	q.expectedServiceTime = f.ExpectedServiceTime(r)
-	q.objectiveEnd = q.started.Add(r.Objective() - f.elapsedBefore(r.Name(), c.TimeLeft))
+	q.answerBy = q.started.Add(r.Objective() - f.elapsedBefore(r.Name(), c.TimeLeft))
+	if c.Nested {
+		// A late answer is of use, as the request that waits for it holds a slot and has its own objective.
+		q.answerBy = q.started.Add(remaining(ctx))
+	}
 	var refusedFor time.Duration
 	if q.crashCount, refusedFor = f.crashes.Assess(call.New(c)); refusedFor > 0 {
 		return f.fail(q, refusal(crashcount.Refused, refusedFor))
@@ -209,12 +215,7 @@
 			return f.fail(q, refusal(reason, wait))
 		}
 		t := choice.Target()
-		maxWait := choice.MaxWait()
-		if choice.NoAlternative() || f.Even && len(q.tried) == maxSends-1 {
-			// 0 means no wait limit of its own: only the deadline and the latest start limit the wait. The last send has no
-			// other endpoint to go to, and a refusal of it would end the request although there is time left.
-			maxWait = 0
-		}
+		maxWait := f.maxWait(q, choice)
 		a, t := f.sendWithHedge(ctx, q, t, maxWait, targets, budget)
 		q.lastTarget = t
 		timeLeft := remaining(ctx)
@@ -353,10 +354,29 @@
 	c.TimeLeft = max(1, remaining(ctx).Milliseconds())
 	c.CrashCount = q.crashCount
 	c.ExpectedServiceTime = q.expectedServiceTime.Microseconds()
-	c.LatestStart = time.Until(q.objectiveEnd.Add(-reservedServiceTime(q.expectedServiceTime, t))).Milliseconds()
+	c.LatestStart = time.Until(q.latestStart(t)).Milliseconds()
 	return call.New(c)
 }
 
+// latestStart returns the latest start at the endpoint that leaves time for the answer.
+func (q *request) latestStart(t *target.Target) time.Time {
+	return q.answerBy.Add(-reservedServiceTime(q.expectedServiceTime, t))
+}
+
+// maxWait returns how long a send may wait for a slot of the chosen endpoint. 0 means that only the deadline and the latest
+// start limit the wait.
+func (f *Forwarder) maxWait(q *request, c chooser.Choice) time.Duration {
+	switch {
+	case c.NoAlternative(), f.Even && len(q.tried) == maxSends-1:
+		// The last send has no other endpoint to go to, and a refusal of it would end the request although there is time left.
+		return 0
+	case q.fields.Nested:
+		// The next free slot is for this call, so a wait is short, and a refusal of all sends costs the request that made it.
+		return max(c.MaxWait(), time.Duration(nestedWaitFraction*float64(time.Until(q.latestStart(c.Target())))))
+	}
+	return c.MaxWait()
+}
+
 // send sends the call to the endpoint and records the answer for the endpoint. It does not change q, so that two sends
 // of a request can run concurrently.
 func (f *Forwarder) send(ctx context.Context, q *request, t *target.Target, c call.Call) answer.Answer {
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -389,10 +389,11 @@
 			return r.refuse(q, http.StatusNotFound, "no route matches", 0)
 		}
 	}
-	t, keyHash, refusal := r.authenticate(q, p, match)
+	from, refusal := r.authenticate(q, p, match)
 	if refusal != nil {
 		return refusal
 	}
+	t := from.tenant
 	deadline := begun.Add(requestTimeout(match, timeLeft))
 	if end := r.lastEnd.Load(); end != nil && deadline.After(*end) {
 		deadline = *end
@@ -405,7 +406,7 @@
 	defer cancel()
 	// A request that began before the drain may have a later deadline.
 	defer context.AfterFunc(r.ending, cancel)()
-	limited := t != nil && keyHash != nil && t.Limited()
+	limited := t != nil && from.keyHash != nil && t.Limited()
 	if limited {
 		late := r.forwarder.Elapsed(match, timeLeft) >= match.Objective() && match.Objective() > 0
 		if wait, ok := r.rateLimiter.Take(ctx, t, late); !ok {
@@ -416,7 +417,7 @@
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
 		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
-		Tenant: tenantName(t), KeyHash: keyHash, KeyVersion: r.keyVersion(p, keyHash), Priority: priority(t, match),
+		Tenant: tenantName(t), KeyHash: from.keyHash, KeyVersion: r.keyVersion(p, from.keyHash), Priority: from.priority(match), Nested: from.nested,
 	})
 	if limited && a.Ran() == answer.No && r.now()-taken < quota.ReturnTerm {
 		r.rateLimiter.Return(t)
@@ -453,11 +454,18 @@
 	}
 }
 
-// authenticate returns the tenant whose key the request has and the hash of the key, or nil if the request needs none, or
-// a refusal. If the configuration has tenants, it removes the key from the request.
-func (r *Receiver) authenticate(q *http.Request, p *plan.Plan, match *rule.Rule) (*tenant.Tenant, []byte, *http.Response) {
+// origin is what a request shows of who sent it.
+type origin struct {
+	tenant  *tenant.Tenant // whose key the request has, or nil
+	keyHash []byte         // of that key, or nil if the request needs none
+	nested  bool           // an upstream makes the request while it runs another one
+}
+
+// authenticate returns the origin of a request, or a refusal. If the configuration has tenants, it removes the key from the
+// request. Upstreams have no key, so a request without one on a public route counts as theirs then.
+func (r *Receiver) authenticate(q *http.Request, p *plan.Plan, match *rule.Rule) (origin, *http.Response) {
 	if len(p.Tenants()) == 0 {
-		return nil, nil, nil
+		return origin{}, nil
 	}
 	key := r.dialect.TakeKey(q.Header)
 	hash := tenant.HashKey(key)
@@ -467,15 +475,18 @@
 		t = nil
 	}
 	switch {
-	case match.Public():
-		return t, nil, nil
+	case match.Public() && key == "":
+		return origin{nested: true}, nil
 	case !r.proofs.Fresh(p.Version()):
-		// An unknown key may be a new one.
-		return nil, nil, r.refuse(q, http.StatusServiceUnavailable, "the configuration may be out of date", staleWait())
+		// An unknown key may be a new one, and a known one may be revoked: on a public route, too, the upstream would get the
+		// name of a tenant that does not hold the key any more.
+		return origin{}, r.refuse(q, http.StatusServiceUnavailable, "the configuration may be out of date", staleWait())
+	case match.Public():
+		return origin{tenant: t}, nil
 	case t == nil:
-		return nil, nil, r.refuse(q, http.StatusUnauthorized, "no tenant has the request's key", 0)
+		return origin{}, r.refuse(q, http.StatusUnauthorized, "no tenant has the request's key", 0)
 	}
-	return t, hash, nil
+	return origin{tenant: t, keyHash: hash}, nil
 }
 
 // keyVersion returns the version of the configuration that has the key, or 0 if endpoints do not check keys.
@@ -497,16 +508,24 @@
 	return t.Name()
 }
 
-// tenantPriorityFactor is the weight of a tenant's priority; that of a rule decides among tenants of the same priority.
-const tenantPriorityFactor = 256
+const (
+	// nestedPriority is the priority of calls that upstreams make while they run a request: without their answers, work that
+	// holds a slot already is lost.
+	nestedPriority = 0
+	// tenantPriorityFactor is the weight of a tenant's priority; that of a rule decides among tenants of the same priority.
+	tenantPriorityFactor = 256
+)
 
 // priority returns the priority of a request; 0 is the most urgent.
-func priority(t *tenant.Tenant, match *rule.Rule) int {
+func (o origin) priority(match *rule.Rule) int {
 	own := min(max(0, match.Priority()), tenantPriorityFactor-1)
-	if t == nil {
+	switch {
+	case o.nested:
+		return nestedPriority
+	case o.tenant == nil:
 		return own
 	}
-	return t.Priority()*tenantPriorityFactor + own
+	return nestedPriority + 1 + o.tenant.Priority()*tenantPriorityFactor + own
 }
 
 // Abandoned counts and logs a request whose caller hung up before it was forwarded.
