spender: choose the first owner when most nodes are reached

Cause: a process chose the owners at its first look at the other nodes, when it had reached a few of them. Five addresses were owners of one shard, and the nodes changed to the right one within a spread of 5 s.

Change: a process chooses when it reaches four fifths of the known addresses, or 0.8 s after its start, which is as long as requests wait for the first tokens. In the first 5 s it changes to another owner without a spread.

The fake cluster of TestRemoteOwner now tells the age of its nodes, as the real one does.

--- a/mesh/membercounter/membercounter.go
+++ b/mesh/membercounter/membercounter.go
@@ -93,7 +93,7 @@
 // StartedTogether reports whether the whole mesh has started with this process, so that no process is left to which an
 // earlier one of this node can have lent its share. Without a known address of another node that is not certain.
 func (c *MemberCounter) StartedTogether() bool {
-	if c.addresses == 1 || float64(c.members()) < startedFraction*float64(c.addresses) {
+	if !c.ReachesMost() {
 		return false
 	}
 	for _, s := range c.seen {
@@ -104,6 +104,11 @@
 	return true
 }
 
+// ReachesMost reports whether this process has reached most of the nodes whose addresses it knows.
+func (c *MemberCounter) ReachesMost() bool {
+	return c.addresses > 1 && float64(c.members()) >= startedFraction*float64(c.addresses)
+}
+
 // Age returns how long the process of another node has run, or a shorter time, and of a node that is not known, zero.
 func (c *MemberCounter) Age(address string, now time.Duration) time.Duration {
 	s, ok := c.seen[address]
--- a/mesh/ratelimiter/ratelimiter_test.go
+++ b/mesh/ratelimiter/ratelimiter_test.go
@@ -26,6 +26,7 @@
 type fakeCluster struct {
 	parts   map[string]*fakePart
 	tenants []*tenant.Tenant
+	begun   time.Time // when the nodes started
 	sent    atomic.Int64
 	bytes   atomic.Int64
 }
@@ -59,7 +60,7 @@
 	var cs []elector.Candidate
 	for address := range p.cluster.parts {
 		if address != p.self {
-			cs = append(cs, elector.Candidate{Address: address, Alive: true})
+			cs = append(cs, elector.Candidate{Address: address, Alive: true, Age: time.Since(p.cluster.begun)})
 		}
 	}
 	return cs
@@ -84,8 +85,8 @@
 
 // startCluster starts parts in the bubble of the test.
 func startCluster(t *testing.T, ctx context.Context, nodes int, ts ...*tenant.Tenant) *fakeCluster {
-	c := &fakeCluster{parts: map[string]*fakePart{}, tenants: ts}
 	begun := time.Now()
+	c := &fakeCluster{parts: map[string]*fakePart{}, tenants: ts, begun: begun}
 	for i := range nodes {
 		p := &fakePart{cluster: c, plan: plan.New(1, plan.Limits{}, nil, nil).WithTenants(ts)}
 		p.RateLimiter = &RateLimiter{
--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -42,7 +42,13 @@
 	// meanwhile, so the tenants of the shard never have to do without most of their shares.
 	changeSpread = 5 * time.Second
 	// leaveSpread is the same for the change from an owner that has said that it stops, which ends some two seconds later.
-	leaveSpread = 1000 * time.Millisecond
+	leaveSpread = time.Second
+	// firstChoice is how long after its start a process waits until it reaches most of the nodes, so that it does not choose an
+	// owner that the others do not have.
+	firstChoice = 800 * time.Millisecond
+	// youngFor is how long after its start a process changes to another owner without a spread. Its first choice was made among
+	// the nodes that it reached by then, and its share is of little use to an owner that others do not have.
+	youngFor = 5 * time.Second
 	// seniorSlack is added to the age of each node that may be an owner, so that nodes agree on the candidates after a start of
 	// the whole mesh, when ages are as long as the time that it takes to learn them.
 	seniorSlack = 2 * time.Second
@@ -233,6 +239,9 @@
 	var changes []Change
 	for i := range s.loans {
 		l := &s.loans[i]
+		if l.owner.address == "" && now < s.startedAt+firstChoice && !s.members.ReachesMost() {
+			continue
+		}
 		if s.together && !l.lent && l.freeAt == s.startedAt+s.terms.Share {
 			l.freeAt = now
 		}
@@ -271,7 +280,10 @@
 func (s *Spender) change(l *loan, next string, now time.Duration) {
 	if l.next == nil || l.next.owner.address != next && !l.withdrawn {
 		spread, term := changeSpread, s.terms.Token
-		if s.avoided[l.owner.address] > 0 {
+		switch {
+		case now < s.startedAt+youngFor:
+			spread = 0
+		case s.avoided[l.owner.address] > 0:
 			spread, term = leaveSpread, s.terms.Last
 		}
 		part := float64(xxhash.Sum64String(s.self+" changes "+next)) / math.MaxUint64
--- a/mesh/spender/spender_test.go
+++ b/mesh/spender/spender_test.go
@@ -194,3 +194,36 @@
 		}
 	}
 }
+
+// TestFirstOwner guards against a process that chooses an owner among the few nodes that it reaches at its start, and against
+// one that stays with such an owner for seconds.
+func TestFirstOwner(t *testing.T) {
+	nodes := []string{"b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	s := New(bounds, "a", 3, hour)
+	s.SetLimits([]quota.Limit{limit})
+	see := func(n int, at time.Duration) []Change {
+		for _, address := range nodes[:n] {
+			s.Members().See(address, false, at-hour, at)
+		}
+		s.Members().SetAddresses(len(nodes)+1, at)
+		return s.SetNodes(nodes[:n], at)
+	}
+	if changes := see(2, hour+200*time.Millisecond); len(changes) > 0 {
+		t.Errorf("with 2 of %d nodes, an owner is chosen: %v", len(nodes), changes)
+	}
+	if changes := see(2, hour+firstChoice); len(changes) != quota.Shards {
+		t.Errorf("after %v, owners are chosen for %d shards", firstChoice, len(changes))
+	}
+	var changed []uint8
+	for at := hour + firstChoice; at < hour+firstChoice+terms.Token+500*time.Millisecond; at += 100 * time.Millisecond {
+		for _, c := range see(len(nodes), at) {
+			changed = append(changed, c.Shard)
+		}
+		for _, o := range s.Due(at) {
+			s.Handle(o.Owner, &quota.Grant{Shard: o.Report.Shard, Incarnation: 1, Stamp: o.Report.Stamp, Reporter: 3, Echo: o.Report.Stamp}, at)
+		}
+	}
+	if s.loans[part].next != nil || len(changed) == 0 {
+		t.Errorf("changed shards %v; the tenant's shard has the owners %q and %v", changed, s.loans[part].owner.address, s.loans[part].next)
+	}
+}
