quota: shares are free 2 s after their last report

Callers saw 429 below their tenant's limit for 2.5 s after the death of an owner, for a quarter of the tenants.

Cause: the share term bears two lost reports in a row. Reports go over TCP links, so one is enough; if two are late, the owner stops using a share for a moment and no token is lost.

--- a/mesh/quota/quota.go
+++ b/mesh/quota/quota.go
@@ -53,14 +53,14 @@
 
 // Limits of the periods, and their largest parts of the window of the bound.
 const (
-	maxShareTerm  = 2500 * time.Millisecond
+	maxShareTerm  = 2 * time.Second
 	maxTokenTerm  = time.Second
 	maxInterval   = 500 * time.Millisecond
-	shareFraction = 2
+	shareFraction = 0.4
 	tokenFraction = 5
 	// lastFraction leaves time for the way of a grant from another region.
 	lastFraction = 3
-	// intervalFraction leaves time for two lost reports before the use of a share ends.
+	// intervalFraction leaves time for a lost report before the use of a share ends.
 	intervalFraction = 10
 )
 
@@ -79,7 +79,7 @@
 func (b Bounds) Terms() Terms {
 	token := min(maxTokenTerm, b.Window/tokenFraction)
 	return Terms{
-		Share: min(maxShareTerm, b.Window/shareFraction), Token: token, Last: token / lastFraction,
+		Share: min(maxShareTerm, time.Duration(shareFraction*float64(b.Window))), Token: token, Last: token / lastFraction,
 		Interval: min(maxInterval, b.Window/intervalFraction),
 	}
 }
