forwarder: callers return in time, and the last retries are theirs

Callers whose request was refused by all endpoints, or by one that refuses though it has slots, were told 250 ms at least. With an objective of 400 ms and work of 120 ms they were answered late, although there was time for a second and a third attempt.

Change: postponer decides when they return: within their objective if there is time, spread, and otherwise not before those that can meet theirs. A request that comes for the first time leaves the last half of the retry budget to those that have come back, which may not have another attempt.

--- a/mesh/allowance/allowance.go
+++ b/mesh/allowance/allowance.go
@@ -73,6 +73,12 @@
 	}
 }
 
+// Low reports whether less than half of the largest balance is left.
+func (b *Budget) Low(now time.Time) bool {
+	b.refill(now)
+	return b.balance.Load() < b.capacity()/2
+}
+
 // Balance returns the number of whole retries that are left.
 func (b *Budget) Balance() int { return int(b.balance.Load() / unitsPerRetry) }
 
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -21,8 +21,10 @@
 	"wisteriaspoke.example/mesh/fault"
 	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
+	"wisteriaspoke.example/mesh/postponer"
 	"wisteriaspoke.example/mesh/rule"
 	"wisteriaspoke.example/mesh/sizer"
+	"wisteriaspoke.example/mesh/slotter"
 	"wisteriaspoke.example/mesh/target"
 	"wisteriaspoke.example/mesh/view"
 )
@@ -49,6 +51,8 @@
 	// retryBudgetFraction is the fraction of the mesh's retry budget that is used. The rest is a margin, as the nodes'
 	// shares do not add up exactly while nodes join and leave.
 	retryBudgetFraction = 0.7
+	// randomSteps is the resolution of random times.
+	randomSteps = 1000
 	// percent is the factor from a fraction to the value of a metric.
 	percent = 100
 )
@@ -185,7 +189,8 @@
 	upstreamFailure     *answer.Answer   // the last response of an upstream with a 5xx status
 	expectedServiceTime time.Duration
 	started             time.Time
-	answerBy            time.Time // end of the latency objective, counted from the caller's first attempt; the deadline of a nested call
+	elapsed             time.Duration // of the caller's earlier attempts
+	answerBy            time.Time     // end of the latency objective, counted from the caller's first attempt; the deadline of a nested call
 }
 
 // Forward sends the request to an endpoint of the rule's service and returns the final answer. ctx ends at the deadline
@@ -194,7 +199,8 @@
 func (f *Forwarder) Forward(ctx context.Context, v *view.View, r *rule.Rule, c call.Fields) answer.Answer {
 	q := &request{rule: r, service: r.PickService(f.random), view: v, fields: c, started: time.Now()}
 	q.expectedServiceTime = f.ExpectedServiceTime(r)
-	q.answerBy = q.started.Add(r.Objective() - f.elapsedBefore(r.Name(), c.TimeLeft))
+	q.elapsed = f.elapsedBefore(r.Name(), c.TimeLeft)
+	q.answerBy = q.started.Add(r.Objective() - q.elapsed)
 	if c.Nested {
 		// A late answer is of use, as the request that waits for it holds a slot and has its own objective.
 		q.answerBy = q.started.Add(remaining(ctx))
@@ -225,7 +231,7 @@
 			crashCount: q.crashCount,
 		}
 		act := nextAction(s)
-		if act == retry && !budget.TryWithdraw(time.Now()) {
+		if act == retry && !f.withdrawRetry(q, budget) {
 			budgetExhausted.Inc(1)
 			s.budgetAvailable = false
 			act = nextAction(s)
@@ -252,6 +258,16 @@
 	}
 }
 
+// withdrawRetry withdraws one retry from the budget and reports whether it allowed that. A request that comes for the first
+// time leaves the last retries to those that have come back: its caller returns, while theirs may not have another attempt.
+func (f *Forwarder) withdrawRetry(q *request, b *allowance.Budget) bool {
+	now := time.Now()
+	if f.Even && q.elapsed == 0 && b.Low(now) {
+		return false
+	}
+	return b.TryWithdraw(now)
+}
+
 func remaining(ctx context.Context) time.Duration {
 	if d, ok := ctx.Deadline(); ok {
 		return time.Until(d)
@@ -284,6 +300,9 @@
 		return reasonNoEndpoint, defaultRetryAfter
 	case t.Gauge().InBackoff(r.Bulk(), time.Now()):
 		// Endpoints in backoff are penalised, so one is chosen only when no better endpoint is left.
+		if f.Even {
+			return reasonAllInBackoff, c.ExpectedWait()
+		}
 		return reasonAllInBackoff, max(defaultRetryAfter, c.ExpectedWait())
 	}
 	return "", 0
@@ -522,6 +541,22 @@
 	}
 }
 
+// retryAfter returns when the caller of a request that has not run should return.
+func (f *Forwarder) retryAfter(q *request, a answer.Answer) time.Duration {
+	wait := time.Duration(a.RetryAfter()) * time.Millisecond
+	switch a.Reason() {
+	case string(slotter.Full), string(slotter.OverRate), reasonAllInBackoff, exchanger.ReasonShed, exchanger.ReasonWrongInstance:
+		if f.Even {
+			start := time.Until(q.answerBy) - time.Duration(reservedServiceTimeFactor*float64(q.expectedServiceTime))
+			return postponer.Refusal{Wait: wait, Start: start}.RetryAfter(float64(f.random(randomSteps)) / randomSteps)
+		}
+	}
+	if wait == 0 {
+		return defaultRetryAfter
+	}
+	return wait
+}
+
 // fail ends a request that gets no further send. It returns the last 5xx response of an upstream if there is one, else
 // a refusal or failure made from a. A refusal of the last send does not prove that earlier sends did not run.
 func (f *Forwarder) fail(q *request, a answer.Answer) answer.Answer {
@@ -535,8 +570,8 @@
 		a = answer.New(fields)
 	}
 	fields.Status = failureStatus(a)
-	if a.Ran() == answer.No && fields.RetryAfter == 0 {
-		fields.RetryAfter = defaultRetryAfter.Milliseconds()
+	if a.Ran() == answer.No {
+		fields.RetryAfter = f.retryAfter(q, a).Milliseconds()
 	}
 	a.Hold().Release()
 	fields.Headers, fields.Body, fields.Hold = nil, nil, nil
--- /dev/null
+++ b/mesh/postponer/doc.go
@@ -0,0 +1,2 @@
+// Package postponer decides when the callers of refused requests should return.
+package postponer
