linker: count the written bytes by kind and distance

Operators could not see what the dear bytes between regions are. The metrics link.bytes.KIND.region and .far count calls, answers and each kind of message.

--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -41,6 +41,7 @@
 // outgoingFrame is one frame that the writer sends.
 type outgoingFrame struct {
 	data      []byte
+	kind      string        // of the message that the frame carries, or empty
 	buffer    *bytes.Buffer // the pooled buffer of data, which the writer releases, or nil
 	hold      *holder.Hold  // the memory of a large answer in data, or nil
 	call      *pendingCall  // the call that the frame carries, or nil
@@ -322,12 +323,7 @@
 		return l.conn.WriteControl(websocket.PingMessage, data, time.Now().Add(writeTimeout))
 	}
 	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if l.purpose == control {
-		controlBytes.Inc(int64(len(data)))
-		if l.crossRegion {
-			crossRegionBytes.Inc(int64(len(data)))
-		}
-	}
+	l.countBytes(o)
 	l.conn.EnableWriteCompression(l.crossRegion && len(data) > compressMinBytes)
 	return l.conn.WriteMessage(websocket.BinaryMessage, data)
 }
--- a/mesh/linker/peer.go
+++ b/mesh/linker/peer.go
@@ -280,7 +280,7 @@
 		}
 		data := must(encodeFrame(typeMessage, k.generation, 0, body))
 		select {
-		case k.queue <- outgoingFrame{data: data}:
+		case k.queue <- outgoingFrame{data: data, kind: string(m.Kind())}:
 			return true
 		case <-k.ended:
 			p.controlLink.CompareAndSwap(k, nil)
--- a/mesh/postponer/postponer.go
+++ b/mesh/postponer/postponer.go
@@ -24,12 +24,12 @@
 func (r Refusal) RetryAfter(random float64) time.Duration {
 	first := max(r.Wait, soonest)
 	last := max(2*first, first+spread)
-	switch {
-	case first >= r.Start:
+	if first < r.Start {
+		// The rest of the time is for a further attempt.
+		last = min(last, (first+r.Start)/2)
+	} else {
 		first = max(r.Wait, lateSoonest)
 		last = 2 * first
-	case last > r.Start:
-		last = r.Start
 	}
 	return first + time.Duration(random*float64(last-first))
 }
