--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -19,7 +19,7 @@
 const (
 	maxCallBytes    = 8 << 20
 	maxControlBytes = 2 << 20
-	// compressMinBytes is the size above which frames are compressed; deflate saves little below it.
+	// compressMinBytes is the size above which frames to another region are compressed; deflate saves little below it.
 	compressMinBytes = 1 << 10
 	queueSize        = 256
 	// writeTimeout bounds each write, so that links to peers that no longer read are closed.
@@ -324,8 +324,7 @@
 	}
 	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	l.countBytes(o)
-	compressed := l.crossRegion || l.purpose == control && l.owner.LinkCompress
-	l.conn.EnableWriteCompression(compressed && len(data) > compressMinBytes)
+	l.conn.EnableWriteCompression(l.crossRegion && len(data) > compressMinBytes)
 	return l.conn.WriteMessage(websocket.BinaryMessage, data)
 }
 
--- a/mesh/linker/link_test.go
+++ b/mesh/linker/link_test.go
@@ -63,16 +63,12 @@
 	}
 }
 
-// TestCompression guards against uncompressed messages between regions, and against compression within a region without
-// the setting.
+// TestCompression guards against uncompressed messages between regions, and against compression within a region.
 func TestCompression(t *testing.T) {
 	const size = 100 << 10
-	for _, c := range []struct {
-		region        string
-		setting, want bool
-	}{{"", false, false}, {"other", false, true}, {"", true, true}} {
+	for _, region := range []string{"", "other"} {
 		p := newProxy(t)
-		a, b := newNode(t, func(l *Linker, _ *fake) { l.LinkCompress = c.setting }), newNode(t, func(_ *Linker, f *fake) { f.region = c.region })
+		a, b := newNode(t), newNode(t, func(_ *Linker, f *fake) { f.region = region })
 		p.target.Store(b.Address())
 		a.Send(p.address(), message.New("note", &testMessage{Text: strings.Repeat("x", size)}))
 		b.awaitEvent(event.Received)
@@ -80,8 +76,8 @@
 			t.Error(err)
 		}
 		p.copies.Wait()
-		if got := p.passed.Load(); (got < size/10) != c.want {
-			t.Errorf("region %q, setting %v: %d bytes", c.region, c.setting, got)
+		if got := p.passed.Load(); (got < size/10) != (region == "other") {
+			t.Errorf("region %q: %d bytes", region, got)
 		}
 	}
 }
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -91,8 +91,6 @@
 	LinkKey   string `help:"File with the certificate's key, in PEM." placeholder:"FILE" env:"WISTERIASPOKE_LINK_KEY"`
 	LinkCA    string `name:"link-ca" help:"File with the authorities that sign other nodes' certificates, in PEM." placeholder:"FILE" env:"WISTERIASPOKE_LINK_CA"`
 
-	LinkCompress bool `help:"Compress large messages within a region, too, as traffic between data centres is expensive." env:"WISTERIASPOKE_LINK_COMPRESS"`
-
 	LinkPing    time.Duration `help:"Interval of probes on links." default:"5s" env:"WISTERIASPOKE_LINK_PING"`
 	LinkSilence time.Duration `help:"A link on which nothing arrives for this long is closed." default:"15s" env:"WISTERIASPOKE_LINK_SILENCE"`
 	LinkFar     time.Duration `help:"A link for messages with another region is probed when nothing arrives for this long." default:"15s" env:"WISTERIASPOKE_LINK_FAR"`
