spender: a share is free without the former owner's confirmation once its term has ended

Found by reading: a former owner that is alive and does not answer kept a withdrawn share from the next one for as long as it was silent. The share is not lent during that time, so its use ends by itself. TestSilentOwner fails without the change.

--- a/mesh/spender/spender.go
+++ b/mesh/spender/spender.go
@@ -293,6 +293,9 @@
 	switch {
 	case !l.withdrawn && now >= l.changeAt:
 		l.withdrawn, l.withdrawal, l.dueAt = true, 0, now
+	case l.withdrawn && l.lent && !l.moved && now >= l.lentAt+s.terms.Share:
+		// Without a confirmation, the use of the share ends by itself.
+		l.lent = false
 	case l.moved && now >= l.askAt:
 		l.arrive()
 	}
--- a/mesh/spender/spender_test.go
+++ b/mesh/spender/spender_test.go
@@ -227,3 +227,30 @@
 		t.Errorf("changed shards %v; the tenant's shard has the owners %q and %v", changed, s.loans[part].owner.address, s.loans[part].next)
 	}
 }
+
+// TestSilentOwner guards against a share that is never lent again as the former owner does not confirm its withdrawal.
+func TestSilentOwner(t *testing.T) {
+	s, _, r := newNode(t)
+	s.Handle("o", grantOf(r, 1, 1, 0), hour)
+	lentAt := hour + terms.Interval
+	if r = reportOf(t, s, lentAt); r.Lent == 0 {
+		t.Fatal("the share is not lent")
+	}
+	l := &s.loans[part]
+	for at := lentAt; at < lentAt+terms.Share+2*terms.Interval; at += 50 * time.Millisecond {
+		s.change(l, "p", at)
+		for _, o := range s.Due(at) {
+			if o.Owner != "p" || o.Report.Shard != part {
+				continue
+			}
+			if o.Report.Lent > 0 {
+				if at < lentAt+terms.Share {
+					t.Fatalf("the share is lent to two owners %v after its last report", at-lentAt)
+				}
+				return
+			}
+			s.Handle("p", grantOf(o.Report, 1, o.Report.Stamp, 0), at)
+		}
+	}
+	t.Error("the share is not lent to the next owner")
+}
