--- a/mesh/ratelimiter/load_test.go
+++ b/mesh/ratelimiter/load_test.go
@@ -26,6 +26,15 @@
 	return ls
 }
 
+// tenantsWith returns tenants with these rates and a burst of a second.
+func tenantsWith(rates ...float64) []quota.Limit {
+	var ls []quota.Limit
+	for i, rate := range rates {
+		ls = append(ls, quota.Limit{Name: fmt.Sprintf("tenant-%d", i), Rate: rate, Burst: rate})
+	}
+	return ls
+}
+
 // settle is the time after which a mesh that has just started knows its size and has filled its buckets.
 const settle = 5 * time.Second
 
@@ -76,10 +85,7 @@
 // TestSparseTenants answers the load "24 nodes, and each tenant's requests arrive at all of them": a small tenant's requests are
 // few at each node, and tokens that lie at the other nodes must not keep them from being served.
 func TestSparseTenants(t *testing.T) {
-	var ls []quota.Limit
-	for i, rate := range []float64{137, 51, 37, 26, 20, 16, 14, 11, 10, 9, 8, 7, 7, 6, 6} {
-		ls = append(ls, quota.Limit{Name: fmt.Sprintf("tenant-%d", i), Rate: rate, Burst: rate})
-	}
+	ls := tenantsWith(137, 51, 37, 26, 20, 16, 14, 11, 10, 9, 8, 7, 7, 6, 6)
 	for seed := range uint64(3) {
 		m := newSimMesh(testBounds, 24, ls, seed)
 		m.advance(settle, nil)
@@ -154,10 +160,7 @@
 // TestRollingRestart answers the load "each owner stops in order, one after the other, and starts again": the tenants of its
 // shard have to go on with nearly all of their requests.
 func TestRollingRestart(t *testing.T) {
-	var ls []quota.Limit
-	for i, rate := range []float64{277, 121, 75, 53, 41, 33, 27, 23, 20, 18, 16, 15, 13, 12, 11} {
-		ls = append(ls, quota.Limit{Name: fmt.Sprintf("tenant-%d", i), Rate: rate, Burst: rate})
-	}
+	ls := tenantsWith(277, 121, 75, 53, 41, 33, 27, 23, 20, 18, 16, 15, 13, 12, 11)
 	for seed := range uint64(3) {
 		m := newSimMesh(testBounds, 24, ls, seed)
 		m.advance(settle, nil)
