receiver: public routes go on for requests with a key while out of date

TestNestedCalls shared one random source between goroutines without a lock, which the race detector reports.

--- a/mesh/forwarder/nested_test.go
+++ b/mesh/forwarder/nested_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,7 +62,13 @@
 		f, v := newForwarder(m)
 		f.Even = true
 		random := rand.New(rand.NewPCG(1, 1))
-		f.random = random.IntN
+		var mutex sync.Mutex // guards random
+		draw := func(f func() float64) float64 {
+			mutex.Lock()
+			defer mutex.Unlock()
+			return f()
+		}
+		f.random = func(n int) int { return int(draw(random.Float64) * float64(n)) }
 		var refused, ran [2]int
 		ends := make(chan func())
 		send := func(kind int, r *rule.Rule, timeLeft time.Duration, c call.Fields) {
@@ -79,12 +86,12 @@
 		}
 		started := 0
 		for begun := time.Now(); time.Since(begun) < seconds*time.Second; started++ {
-			if random.Float64() < 0.5 {
+			if draw(random.Float64) < 0.5 {
 				go send(0, outer, 6*time.Second, call.Fields{Priority: 3})
 			} else {
 				go send(1, nested, 400*time.Millisecond, call.Fields{Priority: 0, Nested: true})
 			}
-			pause := time.Duration(random.ExpFloat64() * float64(time.Second) / (2 * 1.4 * capacity))
+			pause := time.Duration(draw(random.ExpFloat64) * float64(time.Second) / (2 * 1.4 * capacity))
 			for timer := time.After(pause); timer != nil; {
 				select {
 				case count := <-ends:
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -474,15 +474,18 @@
 		// An empty key in the configuration is a mistake, and must not admit requests without one.
 		t = nil
 	}
+	fresh := r.proofs.Fresh(p.Version())
 	switch {
 	case match.Public() && key == "":
 		return origin{nested: true}, nil
-	case !r.proofs.Fresh(p.Version()):
-		// An unknown key may be a new one, and a known one may be revoked: on a public route, too, the upstream would get the
-		// name of a tenant that does not hold the key any more.
-		return origin{}, r.refuse(q, http.StatusServiceUnavailable, "the configuration may be out of date", staleWait())
+	case match.Public() && !fresh:
+		// The key may be revoked, and the upstream must not get the name of a tenant that does not hold it any more.
+		return origin{}, nil
 	case match.Public():
 		return origin{tenant: t}, nil
+	case !fresh:
+		// An unknown key may be a new one.
+		return origin{}, r.refuse(q, http.StatusServiceUnavailable, "the configuration may be out of date", staleWait())
 	case t == nil:
 		return origin{}, r.refuse(q, http.StatusUnauthorized, "no tenant has the request's key", 0)
 	}
