linker: TestHeldUpCalls waits until its call is on its way

It stalls the path, starts the call in a goroutine and resumes the path 500 ms later. If the goroutine starts more than 250 ms late, the call is not held up for longer than the product's limit (maxTransit), and may run. With a pause of 300 ms before the call, the test fails each time in the same way. It now waits until the call is being written, or offered, before the stall is timed; the checks are the same. Passes 3 of 3 alone and 4 of 4 beside 12 busy processes, with the race detector.

--- a/mesh/linker/heldup_test.go
+++ b/mesh/linker/heldup_test.go
@@ -47,6 +47,16 @@
 	return count
 }
 
+// onItsWay reports whether the link has a call whose time of sending is settled: it is being written, or, on a link for
+// bodies, waits for the peer's grant.
+func onItsWay(k *link) (found bool) {
+	k.pendingCalls.Range(func(_, p any) bool {
+		found = k.purpose == bodies || p.(*pendingCall).state.Load() == stateWriting
+		return !found
+	})
+	return found
+}
+
 func namedCall(id, body string) call.Call {
 	return call.New(call.Fields{RequestID: id, Method: "POST", Path: "/", Body: []byte(body)})
 }
@@ -109,6 +119,7 @@
 		p.stall()
 		if !c.granted {
 			begin()
+			eventually(t, "the call is on its way", func() bool { return onItsWay(k) })
 		}
 		g.open <- struct{}{}
 		time.Sleep(stall)
