--- a/mesh/spender/owners.go
+++ b/mesh/spender/owners.go
@@ -97,8 +97,8 @@
 			s.change(l, best, now)
 		case l.next != nil:
 			// The former owner is gone, and with it the share unless the next one has it already.
-			if l.lent && !l.moved {
-				l.freeAt, l.lent = max(l.freeAt, l.lentAt+s.terms.Share), false
+			if !l.moved {
+				s.endLoan(l)
 			}
 			l.arrive()
 		default:
@@ -137,7 +137,7 @@
 		l.withdrawn, l.withdrawal, l.dueAt = true, 0, now
 	case l.withdrawn && l.lent && !l.moved && now >= l.lentAt+s.terms.Share:
 		// Without a confirmation, the use of the share ends by itself.
-		l.lent = false
+		s.endLoan(l)
 	case l.moved && now >= l.askAt:
 		l.arrive()
 	}
@@ -145,12 +145,19 @@
 
 // abandonChange ends a change whose next owner is gone.
 func (s *Spender) abandonChange(l *loan) {
-	if l.moved && l.lent {
-		l.freeAt, l.lent = max(l.freeAt, l.lentAt+s.terms.Share), false
+	if l.moved {
+		s.endLoan(l)
 	}
 	l.cancel()
 }
 
+// endLoan ends the loan to an owner that does not confirm it: the share is free when the term of its last report ends.
+func (s *Spender) endLoan(l *loan) {
+	if l.lent {
+		l.freeAt, l.lent = max(l.freeAt, l.lentAt+s.terms.Share), false
+	}
+}
+
 // seniors returns the nodes that may be owners: those that do not stop and have run at least half as long as the oldest of
 // them. With a node that has just started as the owner, most requests would be refused until the shares are lent to it.
 func (s *Spender) seniors(alive []string, now time.Duration) []string {
@@ -184,9 +191,7 @@
 }
 
 func (s *Spender) changeOwner(l *loan, owner string, now time.Duration) {
-	if l.lent {
-		l.freeAt = max(l.freeAt, l.lentAt+s.terms.Share)
-	}
-	l.relation, l.lent = relation{owner: process{address: owner}, dueAt: now, successor: l.echo > 0}, false
+	s.endLoan(l)
+	l.relation = relation{owner: process{address: owner}, dueAt: now, successor: l.echo > 0}
 	l.cancel()
 }
