gossiper, receiver: log where a configuration came from and what refusals went by

The records could not tell a version that nobody read from a region that was not told or a node that did not take it: refusals had no version, "configuration in force" no origin, and a delivery to another region ended without a line. Refusals now have the version and how long it has been in force, "configuration in force" has "from", and "records confirmed" ends a delivery.

--- a/mesh/gossiper/deliveries.go
+++ b/mesh/gossiper/deliveries.go
@@ -43,6 +43,7 @@
 	pending bool      // no node of the region has confirmed them
 	asked   int       // nodes of the region that were sent the records or asked, in the order of remoteNodes
 	askedAt time.Time
+	since   time.Time // of pending
 }
 
 func (g *Gossiper) ownRevisions() revisions {
@@ -63,7 +64,7 @@
 		}
 		d.wanted = wanted
 		if !d.pending {
-			d.pending, d.asked, d.askedAt = true, 1, g.now()
+			d.pending, d.asked, d.askedAt, d.since = true, 1, g.now(), g.now()
 		}
 	}
 }
@@ -75,8 +76,10 @@
 			continue
 		}
 		nodes := g.remoteNodes(region)
-		if slices.ContainsFunc(nodes, func(p *peer) bool { return p.revisions().covers(d.wanted) }) {
+		if i := slices.IndexFunc(nodes, func(p *peer) bool { return p.revisions().covers(d.wanted) }); i >= 0 {
 			d.pending = false
+			g.log.Info("records confirmed", "region", region, "configuration", d.wanted.Configuration, "orders", d.wanted.Orders,
+				"peer", nodes[i].address, "asked", d.asked, "took", now.Sub(d.since).Milliseconds())
 			continue
 		}
 		q := d.wanted
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -352,7 +352,7 @@
 	case event.Event:
 		g.handleEvent(in)
 	case storeRecords:
-		g.forwardRecords(g.applyNewer(g.compressSpecs(in)), g.config.Region, "")
+		g.forwardRecords(g.applyNewer(g.compressSpecs(in), fromStore), g.config.Region, "")
 		g.expectDeliveries()
 	case storeRead:
 		g.handleRead(in)
@@ -427,7 +427,7 @@
 		if p.status != nil {
 			region = p.status.Region
 		}
-		g.forwardRecords(g.applyNewer(b.Records), region, from)
+		g.forwardRecords(g.applyNewer(b.Records, from), region, from)
 		if region != g.config.Region {
 			g.confirm(p)
 		}
--- a/mesh/gossiper/records.go
+++ b/mesh/gossiper/records.go
@@ -26,12 +26,16 @@
 	return out
 }
 
-// applyNewer stores and applies the records that are newer than the stored ones, and returns them.
-func (g *Gossiper) applyNewer(rs []record.Record) []record.Record {
+// fromStore is the origin of records that this node has read from the store itself.
+const fromStore = "store"
+
+// applyNewer stores and applies the records that are newer than the stored ones, and returns them. from is fromStore or the
+// address of the node that sent them.
+func (g *Gossiper) applyNewer(rs []record.Record, from string) []record.Record {
 	var newer []record.Record
 	for _, r := range rs {
 		if r.Kind == record.Configuration {
-			if g.applyConfiguration(r) {
+			if g.applyConfiguration(r, from) {
 				newer = append(newer, r)
 			}
 			continue
@@ -74,7 +78,7 @@
 // applyConfiguration stores a configuration and puts it in force if its version is higher than that of the present one, and
 // reports whether it did. A store that was restored may also show other content under the same version; that at the higher
 // position is kept, so that all nodes agree.
-func (g *Gossiper) applyConfiguration(r record.Record) bool {
+func (g *Gossiper) applyConfiguration(r record.Record, from string) bool {
 	if r.Deleted {
 		g.log.Error("configuration was deleted in the store; the last one stays in force", "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision))
 		return false
@@ -111,7 +115,7 @@
 	g.records.putConfiguration(r, p.Version())
 	g.plan, g.planSince, g.viewStale = p, g.now(), true
 	planVersion.Update(int64(p.Version()))
-	g.log.Info("configuration in force", "version", p.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "rules", p.RuleCount())
+	g.log.Info("configuration in force", "version", p.Version(), "revision", record.RevisionIn(r.Revision), "era", record.Era(r.Revision), "rules", p.RuleCount(), "from", from)
 	return true
 }
 
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -498,7 +498,11 @@
 func (r *Receiver) refuse(q *http.Request, status int, reason string, wait time.Duration) *http.Response {
 	metrics.GetOrRegisterCounter("request.refused."+strconv.Itoa(status), nil).Inc(1)
 	id, _ := r.dialect.ParseRequest(q.Header)
-	r.log.Warn("request refused", "id", id, "status", status, "reason", reason, "host", q.Host, "path", q.URL.Path)
+	attributes := []any{"id", id, "status", status, "reason", reason, "host", q.Host, "path", q.URL.Path}
+	if v := r.views.View(); v.Plan() != nil {
+		attributes = append(attributes, "version", v.Plan().Version(), "age", time.Since(v.PlanSince()).Milliseconds())
+	}
+	r.log.Warn("request refused", attributes...)
 	w := &http.Response{StatusCode: status, Header: http.Header{}, Close: r.draining.Load()}
 	r.dialect.SetRefusalHeaders(w.Header, id, wait)
 	return w
