gossiper: failing test of a configuration after watchers lose power

What callers see: requests are handled by a configuration that was replaced more than 2.5 s ago. The nodes that watch the store lose power and no connection is reset; the others believe them for 2.6 s after their last heartbeats, nodes of other regions for 7.8 s, and nobody reads the store.

The fake network could not show this: isolate broke the links at once, so that nobody was believed any longer than 300 ms. silence keeps them open.

--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -163,15 +163,21 @@
 
 // isolate breaks the links of the nodes and drops their messages; nodes that were isolated before can link again.
 func (n *network) isolate(addresses ...string) {
+	n.silence(addresses...)
+	for _, a := range addresses {
+		n.unlink(a)
+	}
+}
+
+// silence drops the messages of the given nodes from now on and no others, and keeps their links open, as a host that loses
+// power ends no connection.
+func (n *network) silence(addresses ...string) {
 	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	n.isolated = map[string]bool{}
 	for _, a := range addresses {
 		n.isolated[a] = true
 	}
-	n.mutex.Unlock()
-	for _, a := range addresses {
-		n.unlink(a)
-	}
 }
 
 // describe returns each node's configuration version and the endpoints that it would call, as text.
--- a/mesh/gossiper/outage_test.go
+++ b/mesh/gossiper/outage_test.go
@@ -114,6 +114,31 @@
 	return n.begin(ctx)
 }
 
+// startWatching starts nodes with their watchers and returns a function that ends them.
+func startWatching(t *testing.T, n *network, s *sharedStore, addresses []string) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var ends []<-chan error
+	for _, a := range addresses {
+		watchingNode = &storeNode{n.start(a, addresses...), s}
+		k := kernel.New()
+		k.Log = slog.New(slog.DiscardHandler)
+		end, err := (&watcher.Watcher{}).Start(ctx, k)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ends = append(ends, end)
+	}
+	return func() {
+		cancel()
+		for _, end := range ends {
+			<-end
+		}
+		for a := range n.nodes {
+			n.kill(a)
+		}
+	}
+}
+
 // TestConfigurationAfterOutage guards against CONFIG: after an outage of the store nobody reads a new configuration, as the
 // few nodes that called the store since are turned away, and all others count as not reaching it.
 func TestConfigurationAfterOutage(t *testing.T) {
@@ -148,18 +173,8 @@
 				synctest.Test(t, func(t *testing.T) {
 					n := newNetwork()
 					s := &sharedStore{version: 7, refused: none, silent: c.silent, changed: make(chan struct{})}
-					ctx, cancel := context.WithCancel(t.Context())
-					var ends []<-chan error
-					for _, a := range addresses {
-						watchingNode = &storeNode{n.start(a, addresses...), s}
-						k := kernel.New()
-						k.Log = slog.New(slog.DiscardHandler)
-						end, err := (&watcher.Watcher{}).Start(ctx, k)
-						if err != nil {
-							t.Fatal(err)
-						}
-						ends = append(ends, end)
-					}
+					stop := startWatching(t, n, s, addresses)
+					defer stop()
 					time.Sleep(8 * time.Second)
 					s.set(func() { s.refused = all })
 					time.Sleep(allFailed)
@@ -184,12 +199,50 @@
 							t.Errorf("%s does not have the configuration after %v", a, c.bound)
 						}
 					}
-					cancel()
-					for _, end := range ends {
-						<-end
-					}
-					for a := range n.nodes {
-						n.kill(a)
+				})
+			})
+		}
+	}
+}
+
+// TestConfigurationAfterSilentLoss guards against CONFIG: hosts that watch the store lose power, no connection is reset, and all
+// others leave the watch to them until their heartbeats are overdue, up to 7.8 s later.
+func TestConfigurationAfterSilentLoss(t *testing.T) {
+	const configApply = 2500 * time.Millisecond
+	const phases = 8 // moments of the loss, as its effect depends on when watches and heartbeats began
+	const phaseStep = 170 * time.Millisecond
+	addresses := []string{
+		"a1-w", "a1-x", "a1-y", "a2-w", "a2-x", "a2-y", "b1-w", "b1-x", "b1-y", "b2-w", "b2-x", "b2-y", "c1-w", "c1-x", "c1-y", "c2-w", "c2-x", "c2-y",
+	}
+	for _, c := range []struct {
+		name string
+		lost []string // the first three are the watchers
+	}{
+		{"the watchers", addresses[:3]},
+		{"the watchers' region", addresses[:6]},
+		{"the watchers and most others", slices.Concat(addresses[:5], addresses[6:11], addresses[12:14])},
+		{"all but two", addresses[:16]},
+	} {
+		for phase := range phases {
+			t.Run(fmt.Sprint(c.name, " ", phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					n := newNetwork()
+					none := func(string) bool { return false }
+					s := &sharedStore{version: 7, refused: none, changed: make(chan struct{})}
+					stop := startWatching(t, n, s, addresses)
+					defer stop()
+					time.Sleep(12*time.Second + time.Duration(phase)*phaseStep)
+					n.silence(c.lost...)
+					// Watches that wait get no answer.
+					s.set(func() { s.refused, s.silent = func(a string) bool { return slices.Contains(c.lost, a) }, true })
+					s.set(func() { s.version = 9 })
+					time.Sleep(configApply)
+					synctest.Wait()
+					for _, a := range addresses {
+						p := n.nodes[a].View().Plan()
+						if !slices.Contains(c.lost, a) && (p == nil || p.Version() != 9) {
+							t.Errorf("%s does not have the configuration after %v", a, configApply)
+						}
 					}
 				})
 			})
