--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -32,10 +32,11 @@
 type network struct {
 	mutex          sync.Mutex // guards the fields below and the nodes' linked
 	nodes          map[string]*node
-	isolated       map[string]bool // nodes whose messages are dropped in both directions
-	remoteRecords  map[string]int  // number of records received from other regions, by the receiver's region
-	remoteMessages int             // number of messages between regions
-	nodeLists      int             // number of lists of nodes that were sent
+	isolated       map[string]bool            // nodes whose messages are dropped in both directions
+	severed        func(from, to string) bool // pairs of nodes whose messages are dropped, or nil
+	remoteRecords  map[string]int             // number of records received from other regions, by the receiver's region
+	remoteMessages int                        // number of messages between regions
+	nodeLists      int                        // number of lists of nodes that were sent
 }
 
 // node is a gossiper that is also the fake of the other parts it uses.
@@ -47,6 +48,7 @@
 	linked  map[string]bool
 	own     *enroller.Enroller // of the node's upstream
 	crashes *quarantiner.Quarantiner
+	handles func(peer string, m message.Message) bool // messages of another part, or nil
 	cancel  context.CancelFunc
 	end     chan error
 }
@@ -67,6 +69,9 @@
 		return
 	}
 	other := n.network.nodes[peer]
+	if n.network.severed != nil && n.network.severed(n.address, peer) {
+		return
+	}
 	if !n.linked[peer] {
 		n.linked[peer], other.linked[n.address] = true, true
 		n.Inject(event.NewLinked(peer))
@@ -91,6 +96,9 @@
 			n.network.remoteRecords[other.region] += len(rs.Records)
 		}
 	}
+	if other.handles != nil && other.handles(n.address, decoded) {
+		return
+	}
 	other.Inject(event.NewReceived(n.address, decoded))
 }
 
@@ -111,6 +119,11 @@
 
 // start adds a node that has the seeds; the first letter of its address names its region.
 func (n *network) start(address string, seeds ...string) *node {
+	return n.startWith(address, func(*node) {}, seeds...)
+}
+
+// startWith is start with a function that is called before the node runs.
+func (n *network) startWith(address string, prepare func(x *node), seeds ...string) *node {
 	x := &node{network: n, address: address, region: address[:1], linked: map[string]bool{}, end: make(chan error, 1)}
 	x.crashes = quarantiner.New(slog.New(slog.DiscardHandler))
 	x.Gossiper = &Gossiper{
@@ -125,6 +138,7 @@
 	x.own = enroller.New(slog.New(slog.DiscardHandler), x)
 	x.view.Store(view.New(nil, time.Time{}, nil))
 	x.publishNodes()
+	prepare(x)
 	n.mutex.Lock()
 	n.nodes[address] = x
 	n.mutex.Unlock()
--- a/mesh/gossiper/outage_test.go
+++ b/mesh/gossiper/outage_test.go
@@ -1,6 +1,7 @@
 package gossiper
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/machine"
 	"wisteriaspoke.example/mesh/record"
+	"wisteriaspoke.example/mesh/revalidator"
 	"wisteriaspoke.example/mesh/watcher"
 )
 
@@ -51,6 +53,9 @@
 
 func (n *storeNode) Config() machine.Config { return n.config }
 
+// BootTime returns the virtual time.
+func (n *storeNode) BootTime() time.Duration { return time.Since(time.UnixMilli(0)) }
+
 // begin returns the error of a call that is not served.
 func (n *storeNode) begin(ctx context.Context) error {
 	s := n.store
@@ -114,19 +119,38 @@
 	return n.begin(ctx)
 }
 
-// startWatching starts nodes with their watchers and returns a function that ends them.
-func startWatching(t *testing.T, n *network, s *sharedStore, addresses []string) (stop func()) {
+// startWatching starts nodes with their watchers and returns a function that ends them. With apply above 0, the nodes
+// bound the age of their configuration by it.
+func startWatching(t *testing.T, n *network, s *sharedStore, addresses []string, apply time.Duration) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	var ends []<-chan error
 	for _, a := range addresses {
-		watchingNode = &storeNode{n.start(a, addresses...), s}
-		k := kernel.New()
-		k.Log = slog.New(slog.DiscardHandler)
-		end, err := (&watcher.Watcher{}).Start(ctx, k)
-		if err != nil {
-			t.Fatal(err)
+		var k *kernel.Kernel
+		n.startWith(a, func(x *node) {
+			watchingNode = &storeNode{x, s}
+			k = kernel.New()
+			k.Log = slog.New(slog.DiscardHandler)
+			for _, r := range kernel.All[*revalidator.Revalidator](k) {
+				r.Apply = apply
+				x.prover, x.handles = findProver(k), r.Handle
+			}
+		}, addresses...)
+		for _, r := range kernel.All[*revalidator.Revalidator](k) {
+			end, err := r.Start(ctx, k)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if end != nil {
+				ends = append(ends, end)
+			}
+		}
+		for _, w := range kernel.All[*watcher.Watcher](k) {
+			end, err := w.Start(ctx, k)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ends = append(ends, end)
 		}
-		ends = append(ends, end)
 	}
 	return func() {
 		cancel()
@@ -173,7 +197,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					n := newNetwork()
 					s := &sharedStore{version: 7, refused: none, silent: c.silent, changed: make(chan struct{})}
-					stop := startWatching(t, n, s, addresses)
+					stop := startWatching(t, n, s, addresses, 0)
 					defer stop()
 					time.Sleep(8 * time.Second)
 					s.set(func() { s.refused = all })
@@ -205,47 +229,85 @@
 	}
 }
 
+// watchedAddresses are 18 nodes in three regions; the first three watch the store.
+var watchedAddresses = []string{
+	"a1-w", "a1-x", "a1-y", "a2-w", "a2-x", "a2-y", "b1-w", "b1-x", "b1-y", "b2-w", "b2-x", "b2-y", "c1-w", "c1-x", "c1-y", "c2-w", "c2-x", "c2-y",
+}
+
+// playChange has the nodes watch the store, begins a fault at one of several moments, as its effect depends on when
+// watches and heartbeats began, and changes the configuration. It checks that all nodes but the lost ones then have it in time.
+func playChange(t *testing.T, phase int, begin func(n *network, s *sharedStore), lost []string) {
+	const configApply, phaseStep = 2500 * time.Millisecond, 170 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		s := &sharedStore{version: 7, refused: func(string) bool { return false }, changed: make(chan struct{})}
+		stop := startWatching(t, n, s, watchedAddresses, configApply)
+		defer stop()
+		time.Sleep(12*time.Second + time.Duration(phase)*phaseStep)
+		synctest.Wait()
+		begin(n, s)
+		s.set(func() { s.version = 9 })
+		time.Sleep(configApply)
+		synctest.Wait()
+		for _, a := range watchedAddresses {
+			p := n.nodes[a].View().Plan()
+			if !slices.Contains(lost, a) && (p == nil || p.Version() != 9) {
+				t.Errorf("%s does not have the configuration after %v", a, configApply)
+			}
+		}
+	})
+}
+
+const changePhases = 8
+
 // TestConfigurationAfterSilentLoss guards against CONFIG: hosts that watch the store lose power, no connection is reset, and all
 // others leave the watch to them until their heartbeats are overdue, up to 7.8 s later.
 func TestConfigurationAfterSilentLoss(t *testing.T) {
-	const configApply = 2500 * time.Millisecond
-	const phases = 8 // moments of the loss, as its effect depends on when watches and heartbeats began
-	const phaseStep = 170 * time.Millisecond
-	addresses := []string{
-		"a1-w", "a1-x", "a1-y", "a2-w", "a2-x", "a2-y", "b1-w", "b1-x", "b1-y", "b2-w", "b2-x", "b2-y", "c1-w", "c1-x", "c1-y", "c2-w", "c2-x", "c2-y",
-	}
 	for _, c := range []struct {
 		name string
-		lost []string // the first three are the watchers
+		lost []string
 	}{
-		{"the watchers", addresses[:3]},
-		{"the watchers' region", addresses[:6]},
-		{"the watchers and most others", slices.Concat(addresses[:5], addresses[6:11], addresses[12:14])},
-		{"all but two", addresses[:16]},
+		{"the watchers", watchedAddresses[:3]},
+		{"the watchers' region", watchedAddresses[:6]},
+		{"the watchers and most others", slices.Concat(watchedAddresses[:5], watchedAddresses[6:11], watchedAddresses[12:14])},
+		{"all but two", watchedAddresses[:16]},
 	} {
-		for phase := range phases {
-			t.Run(fmt.Sprint(c.name, " ", phase), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					n := newNetwork()
-					none := func(string) bool { return false }
-					s := &sharedStore{version: 7, refused: none, changed: make(chan struct{})}
-					stop := startWatching(t, n, s, addresses)
-					defer stop()
-					time.Sleep(12*time.Second + time.Duration(phase)*phaseStep)
-					n.silence(c.lost...)
-					// Watches that wait get no answer.
-					s.set(func() { s.refused, s.silent = func(a string) bool { return slices.Contains(c.lost, a) }, true })
-					s.set(func() { s.version = 9 })
-					time.Sleep(configApply)
-					synctest.Wait()
-					for _, a := range addresses {
-						p := n.nodes[a].View().Plan()
-						if !slices.Contains(c.lost, a) && (p == nil || p.Version() != 9) {
-							t.Errorf("%s does not have the configuration after %v", a, configApply)
+		for _, changed := range []bool{false, true} {
+			for phase := range changePhases {
+				t.Run(fmt.Sprintf("%s, changed before %v, %d", c.name, changed, phase), func(t *testing.T) {
+					playChange(t, phase, func(n *network, s *sharedStore) {
+						if changed {
+							// The proofs that the others have are young then.
+							s.set(func() { s.version = 8 })
+							time.Sleep(300 * time.Millisecond)
 						}
-					}
+						n.silence(c.lost...)
+						// Watches that wait get no answer.
+						s.set(func() { s.refused, s.silent = func(a string) bool { return slices.Contains(c.lost, a) }, true })
+					}, c.lost)
 				})
-			})
+			}
 		}
 	}
 }
+
+// TestConfigurationPastOneConfirmation guards against CONFIG: the node of a region that gets a configuration first confirms it for
+// all and cannot pass it on, so that the others of the region are not told.
+func TestConfigurationPastOneConfirmation(t *testing.T) {
+	for phase := range changePhases {
+		t.Run(fmt.Sprint(phase), func(t *testing.T) {
+			playChange(t, phase, func(n *network, _ *sharedStore) {
+				confirming := map[string]bool{}
+				for _, a := range watchedAddresses[:3] {
+					// The order of remoteNodes.
+					confirming[slices.MinFunc(watchedAddresses[6:12], func(x, y string) int { return cmp.Compare(rank(a, x), rank(a, y)) })] = true
+				}
+				n.mutex.Lock()
+				defer n.mutex.Unlock()
+				n.severed = func(from, to string) bool {
+					return from[0] == 'b' && to[0] == 'b' && (confirming[from] || confirming[to])
+				}
+			}, nil)
+		})
+	}
+}
--- a/mesh/gossiper/reads.go
+++ b/mesh/gossiper/reads.go
@@ -12,14 +12,14 @@
 	// Prove records that a read of the store which began at the time, by this host's boot-time clock, found no
 	// configuration newer than the version; it must not block.
 	Prove(began time.Duration, version uint64)
-	// Enabled reports whether proofs are used.
-	Enabled() bool
+	// Proves reports whether proofs are kept.
+	Proves() bool
 }
 
 // findProver returns the part that keeps proofs, or nil if there is none or it is off.
 func findProver(k *kernel.Kernel) prover {
 	for _, p := range kernel.All[prover](k) {
-		if p.Enabled() {
+		if p.Proves() {
 			return p
 		}
 	}
--- a/mesh/gossiper/reads_test.go
+++ b/mesh/gossiper/reads_test.go
@@ -18,7 +18,7 @@
 func (f *fakeProver) Prove(began time.Duration, version uint64) {
 	f.proofs = append(f.proofs, fmt.Sprintf("%d:%d", began, version))
 }
-func (f *fakeProver) Enabled() bool { return true }
+func (f *fakeProver) Proves() bool { return true }
 
 // TestReadsProve guards against a read that proves a configuration to be the newest although its records have not been
 // applied, were lost or could not be read, and against proofs that end because of another writer's object.
--- a/mesh/revalidator/distributor.go
+++ b/mesh/revalidator/distributor.go
@@ -13,26 +13,6 @@
 	"wisteriaspoke.example/mesh/message"
 )
 
-// Fractions of --revoke.
-const (
-	// freshFraction is the age of a proof from which requests are refused. The rest is for the drift of the clocks.
-	freshFraction = 0.9
-	// readFraction is the age of the newest proof from which nodes read the store themselves, and readStepFraction the
-	// further time for each node of the region that precedes.
-	readFraction     = 0.4
-	readStepFraction = 0.06
-	// otherReadersFraction is the time in which all nodes of the region after singleReaders read, so that each one has read in
-	// time even if no message arrives.
-	otherReadersFraction = 0.2
-	// regionStepFraction is the further time for each region that precedes, so that the read of one region reaches the
-	// others before these read themselves.
-	regionStepFraction = 0.015
-	// gainFraction is the time by which a proof must be newer than those passed on before to be passed on.
-	gainFraction = 0.04
-	// senderFraction is the time for which a node that has passed on a proof also sends it to nodes that appear.
-	senderFraction = 0.4
-)
-
 const (
 	// maxShorteningDivisor bounds the part of a watch's wait that is left out to space the watches. The rest, 1.05 s of 1.2 s,
 	// is longer than the second for which a watch may miss changes, so that such a watch ends with an error.
@@ -75,7 +55,7 @@
 type distributor struct {
 	address, region string
 	incarnation     uint64
-	revoke          time.Duration
+	schedule        schedule
 	now             func() time.Duration // boot-time clock
 	random          func() float64
 	send            func(peer string, m message.Message)
@@ -102,9 +82,9 @@
 	incomparable int64 // proofs that were dropped, as they named a moment that this host's clock has not reached
 }
 
-func newDistributor(address, region string, incarnation uint64, revoke time.Duration, now func() time.Duration) *distributor {
+func newDistributor(address, region string, incarnation uint64, times schedule, now func() time.Duration) *distributor {
 	d := &distributor{
-		address: address, region: region, incarnation: incarnation, revoke: revoke, now: now, relater: clockrelater.New(),
+		address: address, region: region, incarnation: incarnation, schedule: times, now: now, relater: clockrelater.New(),
 		contacts: map[string]*contact{}, startAt: now(), passed: proof{moment: never}, passedAt: never, local: never,
 	}
 	d.proofs.Store(&proofs{})
@@ -112,11 +92,6 @@
 	return d
 }
 
-// part returns a fraction of --revoke.
-func (d *distributor) part(fraction float64) time.Duration {
-	return time.Duration(fraction * float64(d.revoke))
-}
-
 // age returns the age of the newest proof for a configuration of the version; it reports false if there is none.
 func (d *distributor) age(version uint64) (time.Duration, bool) {
 	moment, ok := d.proofs.Load().newest(version)
@@ -130,7 +105,7 @@
 // that the clock has not reached shows that the clock has stood still, and proves nothing.
 func (d *distributor) fresh(version uint64) bool {
 	age, ok := d.age(version)
-	return ok && age >= 0 && age < d.part(freshFraction)
+	return ok && age >= 0 && age < d.schedule.fresh
 }
 
 // keep adds a proof, and reports false if it shows nothing new.
@@ -180,7 +155,7 @@
 // gains reports whether the proof is worth passing on: it is newer than the newest that this node has passed on, or has got
 // from other nodes of its region.
 func (d *distributor) gains(p proof) bool {
-	return p.moment-max(d.passed.moment, d.local) >= d.part(gainFraction)
+	return p.moment-max(d.passed.moment, d.local) >= d.schedule.gain
 }
 
 // passToRegion sends a proof to the other nodes of this region except one, and returns the other regions.
@@ -258,7 +233,7 @@
 	if s.Ask {
 		d.sendStamp(peer, c, false)
 	}
-	if c.pending && d.now()-d.passed.moment < d.revoke {
+	if c.pending && d.now()-d.passed.moment < d.schedule.keep {
 		d.pass(elector.Candidate{Address: peer, Incarnation: s.Incarnation}, d.passed, c.pendingDuty)
 	}
 }
@@ -310,7 +285,7 @@
 			d.passToRegion(d.second, "")
 		}
 	}
-	if now-d.passedAt < d.part(senderFraction) {
+	if now-d.passedAt < d.schedule.sender {
 		d.passToNew(now)
 	}
 	if !known || d.reading {
@@ -320,13 +295,14 @@
 	if moment, ok := d.proofs.Load().newest(version); ok {
 		base = max(base, moment)
 	}
-	if now-base < d.part(readFraction) {
+	delay, due := d.readDue(now, base)
+	if !due {
 		return false
 	}
 	if base > d.readBase {
 		d.readPause, d.readAt = 0, 0
 	}
-	if now < d.readAt || now-base < d.part(readFraction)+d.readDelay() {
+	if now < d.readAt || now-base < delay {
 		return false
 	}
 	d.readBase, d.reading = base, true
@@ -335,6 +311,15 @@
 	return true
 }
 
+// readDue returns the age of the newest proof, whose moment is base, from which this node reads the store, and reports false
+// if no node of its region does so yet.
+func (d *distributor) readDue(now, base time.Duration) (age time.Duration, due bool) {
+	if now-base < d.schedule.read {
+		return 0, false
+	}
+	return d.schedule.read + d.readDelay(), true
+}
+
 // passToNew sends the newest proof to nodes of this region that have started or appeared since it was passed on, and asks
 // again for stamps that have not come.
 func (d *distributor) passToNew(now time.Duration) {
@@ -393,11 +378,11 @@
 			before++
 		}
 	}
-	delay := time.Duration(min(before, singleReaders)) * d.part(readStepFraction)
+	delay := time.Duration(min(before, singleReaders)) * d.schedule.readStep
 	if before > singleReaders {
-		delay += d.part(otherReadersFraction) * time.Duration(before-singleReaders) / time.Duration(len(region)+1-singleReaders)
+		delay += d.schedule.otherReaders * time.Duration(before-singleReaders) / time.Duration(len(region)+1-singleReaders)
 	}
-	return delay + time.Duration(len(regions))*d.part(regionStepFraction)
+	return delay + time.Duration(len(regions))*d.schedule.regionStep
 }
 
 func (d *distributor) regionSize() int {
--- a/mesh/revalidator/revalidator.go
+++ b/mesh/revalidator/revalidator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"sync/atomic"
@@ -81,10 +82,17 @@
 	Config() machine.Config
 }
 
+// bootClock is a clock that also counts the time during which the host was suspended.
+type bootClock interface {
+	// BootTime returns the time since the host booted.
+	BootTime() time.Duration
+}
+
 // Revalidator keeps proofs of how fresh this node's configuration is. One goroutine owns its state; requests read the proofs
 // through one atomic pointer.
 type Revalidator struct {
 	Revoke time.Duration `help:"Time after which no request with a revoked key runs; requests with a key are refused while the configuration may be older. 0 for no such limit." default:"0" env:"WISTERIASPOKE_REVOKE"`
+	Apply  time.Duration `help:"Time after which each node acts by a configuration that the store has acknowledged; a node that is not told reads the store itself. 0 for no such bound." default:"0" env:"WISTERIASPOKE_APPLY"`
 
 	log         *slog.Logger
 	store       store
@@ -108,17 +116,21 @@
 	m    message.Message
 }
 
-// Check returns an error for an invalid setting, with its remedy.
+// Check returns an error for each invalid setting, with its remedy.
 func (r *Revalidator) Check() error {
+	var errs []error
 	if r.Revoke != 0 && r.Revoke < minRevoke {
-		return fault.New(fault.Invalid, "--revoke is below "+minRevoke.String(), "set it to 0 for no limit, or to a time such as 5s")
+		errs = append(errs, fault.New(fault.Invalid, "--revoke is below "+minRevoke.String(), "set it to 0 for no limit, or to a time such as 5s"))
 	}
-	return nil
+	if r.Apply < 0 {
+		errs = append(errs, fault.New(fault.Invalid, "--apply is below 0", "set it to 0 for no bound, or to a time such as 2.5s"))
+	}
+	return errors.Join(errs...)
 }
 
-// Start starts the goroutine that keeps the proofs, if --revoke is set.
+// Start starts the goroutine that keeps the proofs, if --revoke or --apply is set.
 func (r *Revalidator) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
-	if !r.Enabled() {
+	if !r.Proves() {
 		return nil, nil
 	}
 	var err error
@@ -138,7 +150,11 @@
 	}
 	c := own.Config()
 	r.log = k.Log
-	d := newDistributor(c.Node, c.Region, c.Incarnation, r.Revoke, clock.Clock{}.Now)
+	now := clock.Clock{}.Now
+	for _, b := range kernel.All[bootClock](k) {
+		now = b.BootTime
+	}
+	d := newDistributor(c.Node, c.Region, c.Incarnation, newSchedule(r.Revoke, r.Apply), now)
 	d.random, d.send, d.nodes = rand.Float64, sender.Send, r.cluster.Nodes
 	r.distributor = d
 	r.started.Store(d)
@@ -147,7 +163,10 @@
 	return end, nil
 }
 
-// Enabled reports whether proofs are kept and checked.
+// Proves reports whether proofs are kept.
+func (r *Revalidator) Proves() bool { return r.Revoke > 0 || r.Apply > 0 }
+
+// Enabled reports whether requests with a key need a proof.
 func (r *Revalidator) Enabled() bool { return r.Revoke > 0 }
 
 // Fresh reports whether requests with a key may run by a configuration of the version: it is certain that no newer one was
@@ -166,7 +185,7 @@
 // Prove records that a read of the store which began at the time, by this host's boot-time clock, found no configuration
 // newer than the version.
 func (r *Revalidator) Prove(began time.Duration, version uint64) {
-	if r.Enabled() {
+	if r.Proves() {
 		r.enqueue(proof{moment: began, version: version})
 	}
 }
@@ -186,7 +205,7 @@
 	if m.Kind() != kindStamp && m.Kind() != kindProof {
 		return false
 	}
-	if r.Enabled() {
+	if r.Proves() {
 		r.enqueue(peerMessage{peer, m})
 	}
 	return true
@@ -297,7 +316,7 @@
 	}
 	proofAge.Update(age.Milliseconds())
 	proofsIgnored.Update(d.incomparable)
-	refusing := keysNeeded && !d.fresh(version)
+	refusing := r.Enabled() && keysNeeded && !d.fresh(version)
 	if refusing == r.refusing {
 		return
 	}
@@ -305,7 +324,7 @@
 	if refusing {
 		r.refusedSince = now
 		r.log.Warn("requests with a key are refused, as the configuration may be out of date", "version", version,
-			"proven", known, "age", age.Milliseconds(), "bound", d.part(freshFraction).Milliseconds())
+			"proven", known, "age", age.Milliseconds(), "bound", d.schedule.fresh.Milliseconds())
 		return
 	}
 	r.log.Info("requests with a key are accepted", "version", version, "age", age.Milliseconds(),
--- a/mesh/revalidator/revalidator_test.go
+++ b/mesh/revalidator/revalidator_test.go
@@ -80,7 +80,7 @@
 	n := &fakeNode{address: address}
 	n.Revalidator = &Revalidator{Revoke: revoke, proven: make(chan struct{}), inputs: make(chan any, inputQueueSize), readErrors: make(chan error, 1)}
 	n.log, n.store, n.cluster = slog.New(slog.NewTextHandler(n, nil)), n, n
-	d := newDistributor(address, "a", 1, revoke, clock.Clock{}.Now)
+	d := newDistributor(address, "a", 1, newSchedule(revoke, 0), clock.Clock{}.Now)
 	d.random, d.send, d.nodes = func() float64 { return 0.5 }, n.send, n.Nodes
 	n.distributor = d
 	n.started.Store(d)
--- a/mesh/revalidator/simulation_test.go
+++ b/mesh/revalidator/simulation_test.go
@@ -81,7 +81,7 @@
 }
 
 func (h *host) restart(incarnation uint64) {
-	h.distributor = newDistributor(h.name, h.name[:1], incarnation, revokeAfter, h.clock)
+	h.distributor = newDistributor(h.name, h.name[:1], incarnation, newSchedule(revokeAfter, 0), h.clock)
 	seed := uint32(len(h.name)) + uint32(incarnation)
 	h.random = func() float64 { seed = seed*1664525 + 1013904223; return float64(seed>>8) / (1 << 24) }
 	h.send = h.sendMessage
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -118,12 +118,19 @@
 	Space(wait time.Duration) (pause, next time.Duration)
 }
 
+// bootClock is a clock that also counts the time during which the host was suspended.
+type bootClock interface {
+	// BootTime returns the time since the host booted.
+	BootTime() time.Duration
+}
+
 // Watcher registers this node in the store and watches the store for changes.
 type Watcher struct {
 	log          *slog.Logger
 	store        store
 	cluster      cluster
 	spacers      []spacer
+	clocks       []bootClock // the first one is used; empty for the host's own
 	node         string      // address of this node
 	deregistered atomic.Bool // this node stops
 }
@@ -141,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.spacers = kernel.All[spacer](k)
+	w.spacers, w.clocks = kernel.All[spacer](k), kernel.All[bootClock](k)
 	w.log, w.node = k.Log, s.Config().Node
 	end := make(chan error, 1)
 	go func() {
@@ -319,7 +326,7 @@
 ) (changed bool, err error) {
 	var rs []record.Record
 	var next uint64
-	began := clock.Clock{}.Now()
+	began := w.bootTime()
 	if *at == 0 {
 		err = w.callStore(ctx, "list "+string(kind), func(ctx context.Context) error {
 			rs, next, err = w.store.List(ctx, kind, false)
@@ -352,6 +359,13 @@
 	return len(rs) > 0, nil
 }
 
+func (w *Watcher) bootTime() time.Duration {
+	for _, c := range w.clocks {
+		return c.BootTime()
+	}
+	return clock.Clock{}.Now()
+}
+
 func (w *Watcher) callStore(ctx context.Context, name string, f func(context.Context) error) error {
 	return w.callStoreWithin(ctx, name, callTimeout, f)
 }
