revalidator: a node that a proof shows to be behind reads the store at once

A node that was not told of a version, and gets a proof that names it, waited for the reads of the nodes before it in the order of its region. These have the version and do not read, so the last node read up to 0.5 s after the first one would have, 2.65 s after the acknowledgement if a proof was young at the change.

--- a/mesh/revalidator/distributor.go
+++ b/mesh/revalidator/distributor.go
@@ -75,6 +75,8 @@
 	hasSecond bool
 	local     time.Duration // the moment of the newest proof that other nodes of this region have sent
 
+	isBehind     bool          // a proof names a newer version than this node's
+	behindAt     time.Duration // since when
 	readPause    time.Duration // after the last read of the store
 	readAt       time.Duration // before this, the store is not read again
 	readBase     time.Duration // the moment of the newest proof at the last read
@@ -295,7 +297,7 @@
 	if moment, ok := d.proofs.Load().newest(version); ok {
 		base = max(base, moment)
 	}
-	delay, due := d.readDue(now, base)
+	delay, due := d.readDue(version, now, base)
 	if !due {
 		return false
 	}
@@ -313,7 +315,16 @@
 
 // readDue returns the age of the newest proof, whose moment is base, from which this node reads the store, and reports false
 // if no node of its region does so yet.
-func (d *distributor) readDue(now, base time.Duration) (age time.Duration, due bool) {
+func (d *distributor) readDue(version uint64, now, base time.Duration) (age time.Duration, due bool) {
+	if !d.proofs.Load().beyond(version) {
+		d.behindAt, d.isBehind = 0, false
+	} else if !d.isBehind {
+		d.behindAt, d.isBehind = now, true
+	}
+	if d.isBehind && now-d.behindAt >= d.schedule.ahead {
+		// The others have the version, so that their reads do not help.
+		return 0, true
+	}
 	if now-base < d.schedule.read {
 		return 0, false
 	}
--- a/mesh/revalidator/proofs.go
+++ b/mesh/revalidator/proofs.go
@@ -27,6 +27,9 @@
 	return moment, ok
 }
 
+// beyond reports whether there is a proof of a newer version.
+func (ps proofs) beyond(version uint64) bool { return len(ps) > 0 && ps[len(ps)-1].version > version }
+
 // add returns the proofs with p, and false if p shows nothing new.
 func (ps proofs) add(p proof) (proofs, bool) {
 	if known, ok := ps.newest(p.version); ok && known >= p.moment {
--- a/mesh/revalidator/schedule_test.go
+++ b/mesh/revalidator/schedule_test.go
@@ -20,3 +20,26 @@
 	}
 	goldie.New(t).Assert(t, "schedule", []byte(out.String()))
 }
+
+// TestReadWhenBehind guards against a node that waits for the reads of others although these have a version that it was not
+// told of.
+func TestReadWhenBehind(t *testing.T) {
+	const apply = 2500 * time.Millisecond
+	now := time.Hour
+	d := newDistributor("a9", "a", 1, newSchedule(0, apply), func() time.Duration { return now })
+	d.random, d.nodes = func() float64 { return 0 }, newSimulation(t.Fatalf, names...).host("a0").candidates
+	d.keep(proof{moment: now, version: 4})
+	var out strings.Builder
+	for elapsed := time.Duration(0); elapsed <= apply; elapsed += tickInterval {
+		if elapsed == 300*time.Millisecond {
+			d.keep(proof{moment: now, version: 5})
+			fmt.Fprintf(&out, "%v: a proof names version 5\n", elapsed)
+		}
+		if d.tick(4, true) {
+			fmt.Fprintf(&out, "%v: the store is read\n", elapsed)
+			break
+		}
+		now += tickInterval
+	}
+	goldie.New(t).Assert(t, "behind", []byte(out.String()))
+}
