--- a/mesh/revalidator/distributor.go
+++ b/mesh/revalidator/distributor.go
@@ -297,14 +297,14 @@
 	if moment, ok := d.proofs.Load().newest(version); ok {
 		base = max(base, moment)
 	}
-	delay, due := d.readDue(version, now, base)
+	readAge, due := d.readDue(version, now, base)
 	if !due {
 		return false
 	}
 	if base > d.readBase {
 		d.readPause, d.readAt = 0, 0
 	}
-	if now < d.readAt || now-base < delay {
+	if now < d.readAt || now-base < readAge {
 		return false
 	}
 	d.readBase, d.reading = base, true
@@ -321,7 +321,7 @@
 	} else if !d.isBehind {
 		d.behindAt, d.isBehind = now, true
 	}
-	if d.isBehind && now-d.behindAt >= d.schedule.ahead {
+	if d.isBehind && now-d.behindAt >= d.schedule.behind {
 		// The others have the version, so that their reads do not help.
 		return 0, true
 	}
--- a/mesh/revalidator/revalidator.go
+++ b/mesh/revalidator/revalidator.go
@@ -151,8 +151,8 @@
 	c := own.Config()
 	r.log = k.Log
 	now := clock.Clock{}.Now
-	for _, b := range kernel.All[bootClock](k) {
-		now = b.BootTime
+	if clocks := kernel.All[bootClock](k); len(clocks) > 0 {
+		now = clocks[0].BootTime
 	}
 	d := newDistributor(c.Node, c.Region, c.Incarnation, newSchedule(r.Revoke, r.Apply), now)
 	d.random, d.send, d.nodes = rand.Float64, sender.Send, r.cluster.Nodes
--- a/mesh/revalidator/schedule.go
+++ b/mesh/revalidator/schedule.go
@@ -26,9 +26,9 @@
 	// regionStepFraction is the further time for each region that precedes, so that the read of one region reaches the
 	// others before these read themselves.
 	regionStepFraction = 0.015
-	// aheadFraction is the time for which a node waits for a version that a proof has named. It then reads the store, as it may be
+	// behindFraction is the time for which a node waits for a version that a proof has named. It then reads the store, as it may be
 	// the only one that was not told.
-	aheadFraction = 0.2
+	behindFraction = 0.2
 	// gainFraction is the time by which a proof must be newer than those passed on before to be passed on.
 	gainFraction = 0.08
 	// senderFraction is the time for which a node that has passed on a proof also sends it to nodes that appear.
@@ -43,7 +43,7 @@
 	readStep     time.Duration
 	otherReaders time.Duration
 	regionStep   time.Duration
-	ahead        time.Duration
+	behind       time.Duration
 	gain         time.Duration
 	sender       time.Duration
 }
@@ -60,7 +60,7 @@
 	part := func(of time.Duration, fraction float64) time.Duration { return time.Duration(fraction * float64(of)) }
 	return schedule{
 		fresh: part(revoke, freshFraction), keep: keep, read: part(apply, readFraction), readStep: part(apply, readStepFraction),
-		otherReaders: part(apply, otherReadersFraction), regionStep: part(apply, regionStepFraction), ahead: part(apply, aheadFraction),
+		otherReaders: part(apply, otherReadersFraction), regionStep: part(apply, regionStepFraction), behind: part(apply, behindFraction),
 		gain: part(apply, gainFraction), sender: part(apply, senderFraction),
 	}
 }
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -359,9 +359,10 @@
 	return len(rs) > 0, nil
 }
 
+// bootTime returns the time since the host booted.
 func (w *Watcher) bootTime() time.Duration {
-	for _, c := range w.clocks {
-		return c.BootTime()
+	if len(w.clocks) > 0 {
+		return w.clocks[0].BootTime()
 	}
 	return clock.Clock{}.Now()
 }
