linker: the pong of a round trip waits behind queued cancel frames

Callers saw nothing; endpoints ran calls whose callers had left. A call that was held up on its link runs only once a round trip shows that its caller still waits: the pong arrives behind the cancel frame. But the reader of the caller's link wrote pongs itself, while the cancel frame could still be queued for the writer. When the writer was late by more than a round trip, the pong overtook the cancel frame and confirmed the call. The writer now writes the pongs of round trips in the order of its queue; probes for silence are answered by the reader as before.

--- a/mesh/linker/confirm.go
+++ b/mesh/linker/confirm.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/fasthttp/websocket"
+
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
 )
@@ -46,7 +48,7 @@
 	l.roundTrips.Store(id, answered)
 	defer l.roundTrips.Delete(id)
 	select {
-	case l.urgent <- outgoingFrame{data: binary.BigEndian.AppendUint64(nil, id), ping: true}:
+	case l.urgent <- outgoingFrame{data: binary.BigEndian.AppendUint64(nil, id), control: websocket.PingMessage}:
 	case <-ctx.Done():
 		return false
 	}
@@ -58,9 +60,21 @@
 	}
 }
 
-// endRoundTrip ends the round trip that the payload of a pong belongs to; other pongs answer the probes of checkAlive.
+// isRoundTrip reports whether a ping or pong with the payload belongs to a round trip; others are probes of checkAlive.
+func isRoundTrip(payload string) bool { return len(payload) == 8 }
+
+// queuePong answers the ping of a round trip. The pong waits behind the cancel frames that are queued already, which a
+// pong written by the reader would overtake. Without room for it, the peer's round trip ends with the call's context.
+func (l *link) queuePong(payload string) {
+	select {
+	case l.urgent <- outgoingFrame{data: []byte(payload), control: websocket.PongMessage}:
+	default:
+	}
+}
+
+// endRoundTrip ends the round trip that the payload of a pong belongs to.
 func (l *link) endRoundTrip(payload string) {
-	if len(payload) != 8 {
+	if !isRoundTrip(payload) {
 		return
 	}
 	if answered, ok := l.roundTrips.LoadAndDelete(binary.BigEndian.Uint64([]byte(payload))); ok {
--- a/mesh/linker/heldup_test.go
+++ b/mesh/linker/heldup_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/fasthttp/websocket"
 	"github.com/sebdah/goldie/v2"
 
 	"wisteriaspoke.example/mesh/answer"
@@ -155,3 +159,61 @@
 	}
 	goldie.New(t).Assert(t, "heldup", []byte(out.String()))
 }
+
+// connect returns both ends of a WebSocket connection.
+func connect(t *testing.T) (near, far *websocket.Conn) {
+	t.Helper()
+	accepted := make(chan *websocket.Conn, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, err := new(websocket.Upgrader).Upgrade(w, r, nil); err == nil {
+			accepted <- c
+		}
+	}))
+	t.Cleanup(server.Close)
+	near, _, err := websocket.DefaultDialer.Dial("ws"+strings.TrimPrefix(server.URL, "http"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return near, <-accepted
+}
+
+// TestPongBehindCancel guards against GONE: a pong that overtakes the cancel frame of a caller that has left, so that a
+// call that was held up seems confirmed and runs. The caller's link gets a ping while its writer has not run since the
+// caller left; a probe behind the ping shows that the reader has handled it.
+func TestPongBehindCancel(t *testing.T) {
+	near, far := connect(t)
+	k := newLink(newNode(t).Linker, nil, near, calls, true, 1, "", time.Now())
+	ctx, cancel := context.WithCancel(t.Context())
+	ends, running := make(chan error), 1
+	go func() { ends <- k.readLoop(ctx) }()
+	k.sendCancel(7)
+	if err := far.WriteControl(websocket.PingMessage, make([]byte, 8), time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if err := far.WriteControl(websocket.PingMessage, nil, time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var arrived []string
+	far.SetPongHandler(func(payload string) error {
+		if payload == "" {
+			running++
+			go func() { ends <- k.writeLoop(ctx) }()
+			return nil
+		}
+		arrived = append(arrived, "pong")
+		return io.EOF
+	})
+	for {
+		if _, _, err := far.ReadMessage(); err != nil {
+			break
+		}
+		arrived = append(arrived, "cancel")
+	}
+	cancel()
+	near.Close()
+	far.Close()
+	for range running {
+		<-ends
+	}
+	goldie.New(t).Assert(t, "pong", []byte(strings.Join(arrived, "\n")+"\n"))
+}
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -46,7 +46,7 @@
 	hold      *holder.Hold  // the memory of a large answer in data, or nil
 	call      *pendingCall  // the call that the frame carries, or nil
 	endsCalls bool          // set on typeClosed, after which no call may be written
-	ping      bool          // data is the payload of a WebSocket ping instead of a frame
+	control   int           // type of the WebSocket control message that data is the payload of, or zero if data is a frame
 }
 
 // release returns the buffer to the pool and the memory to its holder; the writer calls it when it no longer needs data.
@@ -319,8 +319,8 @@
 func (l *link) writeFrame(o outgoingFrame) error {
 	defer o.release()
 	data := o.data
-	if o.ping {
-		return l.conn.WriteControl(websocket.PingMessage, data, time.Now().Add(writeTimeout))
+	if o.control != 0 {
+		return l.conn.WriteControl(o.control, data, time.Now().Add(writeTimeout))
 	}
 	l.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	l.countBytes(o)
@@ -405,6 +405,14 @@
 		l.endRoundTrip(payload)
 		return nil
 	})
+	answerProbe := l.conn.PingHandler()
+	l.conn.SetPingHandler(func(payload string) error {
+		if isRoundTrip(payload) {
+			l.queuePong(payload)
+			return nil
+		}
+		return answerProbe(payload)
+	})
 	var large *largeFrame
 	claim := func(begin []byte) (*bytes.Buffer, bool) {
 		if large = l.claimFrame(ctx, begin); large == nil {
