mover: a bad version is found although its evaluators are lost without a sign

Callers went on getting the answers of a bad version for more than 5 s. Only the two nodes that are first in the order of election get the counts of all nodes and judge the new version. When both lose power with their whole region, nodes of other regions believe them for 7.8 s and go on sending them the counts; nobody else judges.

The leader sends the stage of a move each second. A node that has had none for 2 s now sends its counts to the first two nodes of each region, and these judge 0.5 s later, when the counts of others are there. Counts are sent again when those who get them change. In calm nothing is sent that was not sent before. While no node reaches the store there is no leader, and the evaluators stay the same.

--- a/mesh/elector/elector.go
+++ b/mesh/elector/elector.go
@@ -57,6 +57,18 @@
 	return all[:min(n, len(all))]
 }
 
+// TopOfRegions returns the first n nodes of each region in the order of TopRanked; all nodes of TopRanked are among them.
+func TopOfRegions(own Candidate, peers []Candidate, n int) []Candidate {
+	var top []Candidate
+	taken := map[string]int{}
+	for _, c := range TopRanked(own, peers, len(peers)+1) {
+		if taken[c.Region]++; taken[c.Region] <= n {
+			top = append(top, c)
+		}
+	}
+	return top
+}
+
 // IsLeader reports whether own should make the decisions for the whole mesh.
 func IsLeader(own Candidate, peers []Candidate) bool {
 	return own.StoreReachable && Rank(own, peers) == 0
--- a/mesh/mover/mover.go
+++ b/mesh/mover/mover.go
@@ -42,6 +42,10 @@
 	inputQueueSize    = 1024
 	// evaluatorCount is the number of nodes that get the evidence of all nodes; the second takes over if the first stops.
 	evaluatorCount = 2
+	// leaderSilence is the time without a stage after which the evaluators may have been lost together with the leader.
+	leaderSilence = 2 * stageResendInterval
+	// evidenceDelay is the time that nodes have to notice that and to send their evidence to other nodes.
+	evidenceDelay = 2 * tickInterval
 )
 
 var movesBad = metrics.GetOrRegisterCounter("moves.bad", nil)
@@ -92,13 +96,15 @@
 	startDelay     time.Duration // from orderKnownAt until the new version got its first calls
 	permille       int
 	shareChangedAt time.Time
-	badReason      string // empty until the version is found bad
+	stageKnownAt   time.Time // when the leader's stage was last received or sent, or the order became known
+	badReason      string    // empty until the version is found bad
 	done           bool
 	settled        bool // it has ended before the store was restored
 	stagesAfterEnd int  // stages that other nodes have sent of a settled move
 	counter        *counter
 	evidence       map[string]*evidence // by node
 	sentCalls      uint64               // calls in the evidence that was last sent
+	sentTo         []string             // addresses to which it was sent
 	stageSentAt    time.Time
 	writtenState   order.State // last state written by this node
 	writing        bool        // a write of the state is in progress
@@ -278,7 +284,7 @@
 			mv.orderChanged(o)
 		default:
 			now := m.now()
-			mv = &move{order: o, orderKnownAt: now, shareChangedAt: now, counter: &counter{}, evidence: map[string]*evidence{}}
+			mv = &move{order: o, orderKnownAt: now, shareChangedAt: now, stageKnownAt: now, counter: &counter{}, evidence: map[string]*evidence{}}
 			m.moves[o.Service()] = mv
 			if settled == order.Running {
 				m.log.Info("move begins", "order", o.ID(), "period", o.Period())
@@ -310,6 +316,7 @@
 		m.rejectVersion(mv, s.BadReason, "another node")
 	}
 	now := m.now()
+	mv.stageKnownAt = now
 	if knownAt := now.Add(-time.Duration(s.Elapsed) * time.Millisecond); knownAt.Before(mv.orderKnownAt) {
 		mv.orderKnownAt = knownAt
 	}
@@ -323,7 +330,7 @@
 // evaluate rejects the new version if the counts of all nodes show that it is bad. Only the nodes that get the evidence
 // judge: the counts of one node alone say little.
 func (m *Mover) evaluate(mv *move) {
-	if mv.badReason != "" || mv.settled || !m.evaluates() {
+	if mv.badReason != "" || mv.settled || !m.evaluates(mv) {
 		return
 	}
 	cells, _ := mv.counter.snapshot()
@@ -336,12 +343,6 @@
 	}
 }
 
-// evaluates reports whether this node is one of those that get the evidence.
-func (m *Mover) evaluates() bool {
-	top := elector.TopRanked(m.cluster.Self(), m.cluster.Nodes(), evaluatorCount)
-	return slices.ContainsFunc(top, func(c elector.Candidate) bool { return c.Address == m.config.Node })
-}
-
 func (m *Mover) rejectVersion(mv *move, why, by string) {
 	mv.badReason = why
 	movesBad.Inc(1)
--- a/mesh/mover/mover_test.go
+++ b/mesh/mover/mover_test.go
@@ -35,6 +35,10 @@
 	unread      bool // nodes do not read what is written
 	writes      int  // calls to the store
 	dead        map[string]bool
+	silentSince map[string]time.Time // nodes without power, which others still believe to be alive
+	pause       time.Duration        // between two calls of a node
+	badAnswers  []time.Time          // of the new version
+	newCalls    []time.Time          // to the new version
 	order       order.Fields
 	lastRouting map[string]string // last traced routing of each node
 }
@@ -64,9 +68,24 @@
 func (n *node) alive(address string) bool {
 	n.mesh.mutex.Lock()
 	defer n.mesh.mutex.Unlock()
-	return !n.mesh.dead[address]
+	return !n.mesh.dead[address] && n.mesh.silentSince[address].IsZero()
 }
 
+// believes reports whether the node counts another one as alive: it takes 2.6 heartbeats to notice a silent loss, and
+// those of other regions are sent at three times the interval.
+func (n *node) believes(address string) bool {
+	n.mesh.mutex.Lock()
+	defer n.mesh.mutex.Unlock()
+	since, limit := n.mesh.silentSince[address], 2600*time.Millisecond
+	if region(address) != region(n.address) {
+		limit *= 3
+	}
+	return !n.mesh.dead[address] && (since.IsZero() || time.Since(since) < limit)
+}
+
+// region returns the region of the node at the address.
+func region(address string) string { return address[:1] }
+
 func (n *node) Broadcast(m message.Message) {
 	for _, o := range n.mesh.all() {
 		if o != n {
@@ -95,14 +114,14 @@
 	var cs []elector.Candidate
 	for _, o := range n.mesh.all() {
 		if o != n {
-			cs = append(cs, elector.Candidate{Address: o.address, StoreReachable: true, Alive: n.alive(o.address)})
+			cs = append(cs, elector.Candidate{Address: o.address, Region: region(o.address), StoreReachable: true, Alive: n.believes(o.address)})
 		}
 	}
 	return cs
 }
 
 func (n *node) Self() elector.Candidate {
-	return elector.Candidate{Address: n.address, StoreReachable: true, Alive: true}
+	return elector.Candidate{Address: n.address, Region: region(n.address), StoreReachable: true, Alive: true}
 }
 
 // WriteOrderState writes a state and passes the changed order to all nodes, as a watch would.
@@ -134,6 +153,7 @@
 
 func (m *mesh) start(addresses ...string) {
 	m.startedAt, m.dead, m.lastRouting = time.Now(), map[string]bool{}, map[string]string{}
+	m.silentSince, m.pause = map[string]time.Time{}, 20*time.Millisecond
 	for _, a := range addresses {
 		m.nodes = append(m.nodes, m.newNode(a))
 	}
@@ -166,7 +186,7 @@
 func (m *mesh) calls(until time.Duration, failureRatio float64) {
 	i := 0
 	for time.Since(m.startedAt) < until {
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(m.pause)
 		for _, n := range m.nodes {
 			if !n.alive(n.address) {
 				continue
@@ -186,7 +206,14 @@
 			if newVersion {
 				version, instance = "v2", fmt.Sprintf("new%d", i%2)
 			}
-			n.Observe("s", version, "read", instance, newVersion && float64((i*61)%100) < 100*failureRatio, false, false)
+			bad := newVersion && float64((i*61)%100) < 100*failureRatio
+			if newVersion {
+				m.newCalls = append(m.newCalls, time.Now())
+			}
+			if bad {
+				m.badAnswers = append(m.badAnswers, time.Now())
+			}
+			n.Observe("s", version, "read", instance, bad, false, false)
 		}
 	}
 }
--- a/mesh/mover/steps.go
+++ b/mesh/mover/steps.go
@@ -29,21 +29,6 @@
 	return m.writeState(ctx, mv)
 }
 
-// sendEvidence sends this node's counts to the nodes that evaluate the move.
-func (m *Mover) sendEvidence(mv *move) {
-	cells, calls := mv.counter.snapshot()
-	if calls == mv.sentCalls {
-		return
-	}
-	mv.sentCalls = calls
-	n := message.New(kindEvidence, &evidence{Order: mv.order.ID(), Incarnation: m.config.Incarnation, Counts: cells})
-	for _, c := range elector.TopRanked(m.cluster.Self(), m.cluster.Nodes(), evaluatorCount) {
-		if c.Address != m.config.Node {
-			m.peerSender.Send(c.Address, n)
-		}
-	}
-}
-
 // advanceShare raises the new version's share, or marks the move as done, when it is due.
 func (m *Mover) advanceShare(mv *move, now time.Time) {
 	pool := m.cluster.View().Pool(mv.order.Service())
@@ -66,7 +51,7 @@
 
 func (m *Mover) broadcastStage(mv *move) {
 	now := m.now()
-	mv.stageSentAt = now
+	mv.stageSentAt, mv.stageKnownAt = now, now
 	if mv.settled {
 		m.cluster.Broadcast(outcomeMessage(mv))
 		return
