gossiper: a node that restarts after its clock was put back is heard again

Upstreams of a host got no calls from other nodes, for as long as these ran. A node's incarnation is the time of its start by the host's clock. When the clock is put back between two starts, the new incarnation is below the last one, and peers dropped each status of the new process as outdated; the link counted as open, so that they never forgot the old one either.

A status tells how long its process has run. One that has started since its predecessor was last heard is now taken for newer, whatever its incarnation. Messages of one process are ordered as before.

--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -133,7 +133,7 @@
 		config: machine.Config{
 			Node: address, DataCentre: address[:2], Region: address[:1], Incarnation: uint64(time.Now().UnixMilli()),
 		},
-		own: peer{address: address, linked: true},
+		own: peer{address: address, linked: true}, startedAt: time.Now(),
 	}
 	x.own = enroller.New(slog.New(slog.DiscardHandler), x)
 	x.view.Store(view.New(nil, time.Time{}, nil))
--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -62,7 +62,7 @@
 // state changed, which is also true for the first status, and whether u was stored.
 func (p *peer) updateStatus(u *status, now time.Time) (changed, stored bool) {
 	old := p.status
-	if old != nil && (u.Incarnation < old.Incarnation || u.Incarnation == old.Incarnation && u.Sequence <= old.Sequence) {
+	if old != nil && !p.precedes(u, now) {
 		return false, false
 	}
 	if old != nil && u.Incarnation != old.Incarnation {
@@ -95,6 +95,23 @@
 	return *old.Endpoint != *u.Endpoint, true
 }
 
+// precedes reports whether the stored status is older than u.
+//
+// The incarnation is the time of a process's start by its host's clock, which may have been put back between two starts. A
+// process that has started since the stored one was last heard is newer, whatever its incarnation. The limit on the
+// silence is for messages of the ended process that arrive after the start of the next one.
+func (p *peer) precedes(u *status, now time.Time) bool {
+	switch {
+	case u.Incarnation > p.status.Incarnation:
+		return true
+	case u.Incarnation == p.status.Incarnation:
+		return u.Sequence > p.status.Sequence
+	}
+	silence := now.Sub(p.lastHeardAt)
+	return silence >= time.Duration(u.Age)*time.Millisecond ||
+		silence > time.Duration(heartbeatStaleIntervals*remoteIntervalFactor*float64(heartbeatInterval))
+}
+
 // keepWithdrawal records that the peer's upstream leaves for good, and corrects a status that says otherwise: the peer may
 // have restarted since and been told by a delayed announcement.
 func (p *peer) keepWithdrawal(u *status) {
