linker: log which links keep a drain from ending

Now the first five links that have not ended are logged with the peer, the purpose, the calls on them, whether the peer has confirmed the close, and how long it has been silent.

--- a/mesh/linker/drain.go
+++ b/mesh/linker/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"wisteriaspoke.example/mesh/fault"
 )
@@ -43,8 +44,31 @@
 		select {
 		case <-k.ended:
 		case <-ctx.Done():
+			l.logUnfinished(ks[i:])
 			return fault.Wrap(fault.Unavailable, ctx.Err(), fmt.Sprintf("%d links still had work", len(ks)-i), "allow more time with --drain")
 		}
 	}
 	return nil
 }
+
+// maxUnfinishedLogged bounds the log lines about links that still have work at the end of a drain.
+const maxUnfinishedLogged = 5
+
+// logUnfinished logs what the first links that have not ended wait for.
+func (l *Linker) logUnfinished(ks []*link) {
+	logged := 0
+	for _, k := range ks {
+		if logged == maxUnfinishedLogged {
+			return
+		}
+		select {
+		case <-k.ended:
+			continue
+		default:
+		}
+		logged++
+		silence := time.Since(time.Unix(0, k.lastReceived.Load()))
+		l.log.Warn("link still has work", "peer", k.peer.address, "purpose", k.purpose.String(), "dialed", k.dialed,
+			"running", k.handlers.running(), "outstanding", k.outstanding.Load(), "confirmed", k.confirmed.Load(), "silence", silence.Milliseconds())
+	}
+}
--- a/mesh/linker/hello.go
+++ b/mesh/linker/hello.go
@@ -22,6 +22,14 @@
 	bodies                     // calls with large bodies from the dialer to the acceptor
 )
 
+// String returns the name of the purpose for log lines.
+func (p purpose) String() string {
+	if p > purposeCount {
+		return "unknown"
+	}
+	return [...]string{"unknown", "control", "calls", "bodies"}[p]
+}
+
 // purposeCount is the number of purposes.
 const purposeCount = 3
 
--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -73,6 +73,7 @@
 	ids          atomic.Uint64
 	outstanding  atomic.Int64 // calls of this node that use the link
 	closing      atomic.Bool  // no new calls
+	confirmed    atomic.Bool  // the peer has confirmed that it sends no more calls
 	pendingCalls sync.Map     // uint64 -> *pendingCall
 	inboundCalls sync.Map     // uint64 -> *inboundCall
 	handlers     *group
--- a/mesh/linker/serve.go
+++ b/mesh/linker/serve.go
@@ -33,6 +33,7 @@
 			h.(*inboundCall).cancel()
 		}
 	case f.Type == typeClosed && servesCalls:
+		l.confirmed.Store(true)
 		signal(l.acked)
 	case f.Type == typeAnswer && makesCalls:
 		return l.deliverAnswer(f)
