linker: a drain does not wait for peers that have lost power

A node that was stopped took all of its time for the drain (5.1 s of 6 s of grace on the platform), logged `drain incomplete`, and some were killed. A drain waits until the dialer of each link for calls confirms that no call follows. A peer that has lost power confirms nothing, and idle links for calls are not probed, so such a link stayed open for as long as the process ran.

From the begin of the drain of all parts on, which takes 2.5 s until callers have ended, the linker probes accepted links for calls as it does busy ones; the kernel tells parts by DrainBegins.

The tests of linker and kernel pass with the race detector.

--- a/mesh/kernel/kernel.go
+++ b/mesh/kernel/kernel.go
@@ -34,6 +34,12 @@
 	Drain(ctx context.Context) error
 }
 
+// drainObserver is implemented by parts that prepare for their own drain while other parts are drained.
+type drainObserver interface {
+	// DrainBegins is called before the first part is drained; it must not block.
+	DrainBegins()
+}
+
 // Kernel holds the parts of one program.
 type Kernel struct {
 	// Log is the program's logger; set before Run.
@@ -168,6 +174,11 @@
 func (k *Kernel) drain(ctx context.Context, started int) {
 	drainCtx, cancel := context.WithTimeout(ctx, k.DrainTimeout)
 	defer cancel()
+	for _, n := range k.parts[:started] {
+		if o, ok := n.part.(drainObserver); ok {
+			o.DrainBegins()
+		}
+	}
 	for i := started - 1; i >= 0; i-- {
 		d, ok := k.parts[i].part.(drainer)
 		if !ok {
--- a/mesh/linker/drain.go
+++ b/mesh/linker/drain.go
@@ -8,6 +8,10 @@
 	"wisteriaspoke.example/mesh/fault"
 )
 
+// DrainBegins has all links probed from which nothing arrives, so that those to peers that have lost power end while other
+// parts are drained.
+func (l *Linker) DrainBegins() { l.draining.Store(true) }
+
 // Drain closes all links in order: calls of other nodes are answered first, then this node's own calls end, then the
 // control links close. It returns a fault of kind Unavailable if ctx ends earlier.
 func (l *Linker) Drain(ctx context.Context) error {
--- a/mesh/linker/linker.go
+++ b/mesh/linker/linker.go
@@ -121,6 +121,7 @@
 	links          sync.Map // *link -> struct{}
 	runningCalls   atomic.Int64
 	started        atomic.Bool
+	draining       atomic.Bool // the drain of all parts has begun
 	rejectInbound  atomic.Bool // no new links from other nodes
 	rejectOutbound atomic.Bool // no new calls or links to other nodes
 }
