enroller: an announcement before the first configuration does not displace the upstream

Callers' requests reached endpoints with the Caller-Service of a service that no configuration names, and the host's own upstream got no request for as long as the node ran. An announcement that comes before the first configuration can't be checked. One of another program, with an unknown service and a later start, became the current upstream; those of the real upstream counted as older from then on.

When an announcement arrives and the current upstream's service is not configured, the current one is disowned: any other process may replace it, whatever its start. Until then requests carry the service of the settings. Upstreams of configured services are handled as before.

The new cases of TestAnnouncements failed before: the upstream stays displaced, with the unknown service.

--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -49,6 +49,7 @@
 	limit        float64   // calls a second; 0 without a limit
 	withdrawn    bool      // the process leaves, which is final
 	unannounced  bool      // only its withdrawal is known, as this node has restarted
+	disowned     bool      // its service is not configured
 }
 
 // Announcement returns the upstream's last announcement.
@@ -153,14 +154,31 @@
 // Current returns the current upstream, or nil if none has announced itself.
 func (e *Enroller) Current() *Upstream { return e.current.Load() }
 
-// Service returns the service of the local upstream, from its announcement, or from the settings if there is none.
-func (e *Enroller) Service() string {
-	if u := e.current.Load(); u != nil {
+// Service returns the service of the local upstream: that of its announcement if it is configured, otherwise that of the
+// settings.
+func (e *Enroller) Service(configured func(service string) bool) string {
+	if u := e.current.Load(); u != nil && configured(u.announcement.Service) {
 		return u.announcement.Service
 	}
 	return e.service
 }
 
+// Disown lets the announcement of any other process replace the current upstream if its service is not configured. Such
+// an upstream can have been announced by another program before the first configuration was known.
+func (e *Enroller) Disown(configured func(service string) bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	c := e.current.Load()
+	if c == nil || c.unannounced || c.disowned || configured(c.announcement.Service) {
+		return
+	}
+	e.log.Warn("upstream disowned, as no configuration names its service", "instance", c.announcement.Instance, "service", c.announcement.Service)
+	delete(e.instances, c.announcement.Instance)
+	next := *c
+	next.disowned = true
+	e.current.Store(&next)
+}
+
 // Announce applies an announcement and returns true; it ignores one of an older process or state and returns false.
 func (e *Enroller) Announce(a Announcement) bool {
 	e.mutex.Lock()
@@ -170,7 +188,7 @@
 		a.StartMillis == r.startMillis && (r.withdrawn || a.Sequence < r.sequence)) {
 		return false
 	}
-	if c := e.current.Load(); c != nil && !c.unannounced && c.announcement.Instance != a.Instance && a.StartMillis < c.announcement.StartMillis {
+	if c := e.current.Load(); c != nil && !c.unannounced && !c.disowned && c.announcement.Instance != a.Instance && a.StartMillis < c.announcement.StartMillis {
 		return false
 	}
 	e.remember(a.Instance, instanceRecord{startMillis: a.StartMillis, sequence: a.Sequence})
--- a/mesh/enroller/enroller_test.go
+++ b/mesh/enroller/enroller_test.go
@@ -52,7 +52,7 @@
 		Name  string
 		Steps []struct {
 			Now         int64  // Unix milliseconds
-			Do          string // announce, withdraw, limit, suspect, recover or stop
+			Do          string // announce, withdraw, limit, suspect, recover, stop or configure, with the only service of the configuration
 			Instance    string
 			StartMillis int64
 			Sequence    int64
@@ -68,6 +68,7 @@
 	for _, c := range cases {
 		fmt.Fprintf(&out, "%s\n", c.Name)
 		now := time.UnixMilli(0)
+		configured := func(string) bool { return true }
 		e := &Enroller{now: func() time.Time { return now }, instances: map[string]instanceRecord{}, log: slog.New(slog.DiscardHandler), service: "s"}
 		for _, s := range c.Steps {
 			applied := true
@@ -89,10 +90,13 @@
 				e.ClearSuspect(s.Instance)
 			case "stop":
 				e.markLeaving()
+			case "configure":
+				configured = func(service string) bool { return service == s.Service }
+				e.Disown(configured)
 			}
 			state := "none"
 			if u := e.Current(); u != nil {
-				state = fmt.Sprintf("%s of %s, %s", u.Announcement().Instance, e.Service(), u.State())
+				state = fmt.Sprintf("%s of %s, %s", u.Announcement().Instance, e.Service(configured), u.State())
 				if u.Limit() > 0 {
 					state += fmt.Sprintf(", limit %g", u.Limit())
 				}
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -91,8 +91,8 @@
 
 // identity provides the service of the local upstream.
 type identity interface {
-	// Service returns the service of the local upstream.
-	Service() string
+	// Service returns the service of the local upstream, which is one of those that are configured.
+	Service(configured func(service string) bool) string
 }
 
 // freshness judges how old the configuration may be.
@@ -415,7 +415,7 @@
 	taken := r.now()
 	a := r.forwarder.Forward(ctx, v, match, call.Fields{
 		Method: q.Method, Host: q.Host, Path: q.RequestURI, Headers: endToEndHeaders(q.Header), Body: body,
-		RequestID: id, Caller: r.identity.Service(), TimeLeft: timeLeft.Milliseconds(),
+		RequestID: id, Caller: r.identity.Service(p.HasService), TimeLeft: timeLeft.Milliseconds(),
 		Tenant: tenantName(t), KeyHash: from.keyHash, KeyVersion: r.keyVersion(p, from.keyHash), Priority: from.priority(match), Nested: from.nested,
 	})
 	if limited && a.Ran() == answer.No && r.now()-taken < quota.ReturnTerm {
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -45,7 +45,7 @@
 
 func (f *fakeParts) View() *view.View                                { return view.New(f.plan, time.Time{}, nil) }
 func (f *fakeParts) PlanKnown() <-chan struct{}                      { return f.planKnown }
-func (f *fakeParts) Service() string                                 { return "own" }
+func (f *fakeParts) Service(func(string) bool) string                { return "own" }
 func (f *fakeParts) Elapsed(*rule.Rule, time.Duration) time.Duration { return 0 }
 func (f *fakeParts) Forward(ctx context.Context, _ *view.View, _ *rule.Rule, c call.Fields) answer.Answer {
 	return f.forward(ctx, c)
