--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -98,8 +98,8 @@
 // precedes reports whether the stored status is older than u.
 //
 // The incarnation is the time of a process's start by its host's clock, which may have been put back between two starts. A
-// process that has started since the stored one was last heard is newer, whatever its incarnation. The limit on the
-// silence is for messages of the ended process that arrive after the start of the next one.
+// process that has started since the stored one was last heard is newer, whatever its incarnation. If messages of the
+// ended process arrive after that start, the next one is taken once nothing more has been heard of the ended one.
 func (p *peer) precedes(u *status, now time.Time) bool {
 	switch {
 	case u.Incarnation > p.status.Incarnation:
--- a/mesh/mover/silence_test.go
+++ b/mesh/mover/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -14,17 +15,16 @@
 
 // powerOff stops nodes without a sign to the others.
 func (m *mesh) powerOff(addresses ...string) {
-	for i, n := range m.nodes {
-		for _, a := range addresses {
-			if n.address == a {
-				m.mutex.Lock()
-				m.silentSince[a] = time.Now()
-				m.mutex.Unlock()
-				n.cancel()
-				<-m.nodes[i].end
-				n.end <- nil
-			}
+	for _, n := range m.nodes {
+		if !slices.Contains(addresses, n.address) {
+			continue
 		}
+		m.mutex.Lock()
+		m.silentSince[n.address] = time.Now()
+		m.mutex.Unlock()
+		n.cancel()
+		<-n.end
+		n.end <- nil
 	}
 }
 
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -91,7 +91,7 @@
 
 // identity provides the service of the local upstream.
 type identity interface {
-	// Service returns the service of the local upstream, which is one of those that are configured.
+	// Service returns the service of the local upstream; configured reports whether the configuration names a service.
 	Service(configured func(service string) bool) string
 }
 
