linker: keep once whether the peer has confirmed the close

The flag is the only one now, and the channel only wakes supervise, as that of idle links does. No behaviour changes; the package's tests pass with the race detector.

--- a/mesh/linker/link.go
+++ b/mesh/linker/link.go
@@ -85,7 +85,7 @@
 	pingedAt     time.Time     // when the unanswered ping was sent, or zero; used by the writer only
 
 	drain  chan struct{} // asks run for an orderly close
-	acked  chan struct{} // signalled when the peer has confirmed that it sends no more calls
+	acked  chan struct{} // signalled when confirmed is set
 	idle   chan struct{} // signalled when outstanding falls to zero while closing
 	finish chan struct{} // closed by supervise: the writer flushes and ends
 	ended  chan struct{} // closed after the reader and the writer ended
@@ -174,7 +174,7 @@
 	defer idle.Stop()
 	var closeTimer <-chan time.Time
 	var lastID uint64
-	draining, acked, finished := false, false, false
+	draining, finished := false, false
 	for {
 		select {
 		case err := <-readEnd:
@@ -195,7 +195,6 @@
 		case <-l.handlers.ends:
 			l.handlers.ended()
 		case <-l.acked:
-			acked = true
 		case <-l.idle:
 		case <-idle.C:
 			currentID := l.ids.Load()
@@ -210,7 +209,7 @@
 				l.beginDrain()
 			}
 		}
-		if draining && !finished && l.drained(acked) {
+		if draining && !finished && l.drained() {
 			finished = true
 			close(l.finish)
 		}
@@ -225,14 +224,14 @@
 }
 
 // drained reports whether a draining link has no work left.
-func (l *link) drained(acked bool) bool {
+func (l *link) drained() bool {
 	if l.purpose == control {
 		return true
 	}
 	if l.dialed {
 		return l.outstanding.Load() == 0
 	}
-	return acked && l.handlers.running() == 0
+	return l.confirmed.Load() && l.handlers.running() == 0
 }
 
 // sendUrgent queues a frame without a body and reports whether the queue had room for it.
