enroller: one flag for upstreams that any other process may replace

Upstreams whose service is not configured had a flag of their own beside that of upstreams which were never announced, and both were read in the same places with the same effect. No behaviour changes; the golden file of TestAnnouncements is the same.

--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -48,8 +48,7 @@
 	until        time.Time // end of the cold start, or of the pause of a suspect upstream
 	limit        float64   // calls a second; 0 without a limit
 	withdrawn    bool      // the process leaves, which is final
-	unannounced  bool      // only its withdrawal is known, as this node has restarted
-	disowned     bool      // its service is not configured
+	replaceable  bool      // by any other process: it has never been announced here, or its service is not configured
 }
 
 // Announcement returns the upstream's last announcement.
@@ -169,13 +168,13 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	c := e.current.Load()
-	if c == nil || c.unannounced || c.disowned || configured(c.announcement.Service) {
+	if c == nil || c.replaceable || configured(c.announcement.Service) {
 		return
 	}
 	e.log.Warn("upstream disowned, as no configuration names its service", "instance", c.announcement.Instance, "service", c.announcement.Service)
 	delete(e.instances, c.announcement.Instance)
 	next := *c
-	next.disowned = true
+	next.replaceable = true
 	e.current.Store(&next)
 }
 
@@ -188,7 +187,7 @@
 		a.StartMillis == r.startMillis && (r.withdrawn || a.Sequence < r.sequence)) {
 		return false
 	}
-	if c := e.current.Load(); c != nil && !c.unannounced && !c.disowned && c.announcement.Instance != a.Instance && a.StartMillis < c.announcement.StartMillis {
+	if c := e.current.Load(); c != nil && !c.replaceable && c.announcement.Instance != a.Instance && a.StartMillis < c.announcement.StartMillis {
 		return false
 	}
 	e.remember(a.Instance, instanceRecord{startMillis: a.StartMillis, sequence: a.Sequence})
@@ -239,7 +238,7 @@
 		// The other nodes must know, so that they can tell this one after its next restart.
 		e.publish(&Upstream{
 			announcement: Announcement{Instance: instance, Service: e.service, Slots: 1, StartMillis: r.startMillis},
-			state:        endpoint.Leaving, withdrawn: true, unannounced: true,
+			state:        endpoint.Leaving, withdrawn: true, replaceable: true,
 		})
 	case c.announcement.Instance == instance:
 		next := c.withState(endpoint.Leaving, c.until)
