--- a/mesh/gossiper/peer.go
+++ b/mesh/gossiper/peer.go
@@ -31,12 +31,17 @@
 // reachable reports whether the peer's endpoint can be called: the peer was heard from recently, and is linked or was
 // until recently. interval is the longest time between the peer's heartbeats.
 func (p *peer) reachable(now time.Time, interval time.Duration) bool {
-	if p.status == nil || now.Sub(p.lastHeardAt) > time.Duration(heartbeatStaleIntervals*float64(interval)) {
+	if p.status == nil || now.Sub(p.lastHeardAt) > staleAfter(interval) {
 		return false
 	}
 	return p.linked || now.Sub(p.linkChangedAt) < unlinkedGrace
 }
 
+// staleAfter returns the silence after which a peer counts as unreachable whose heartbeats are sent at the interval.
+func staleAfter(interval time.Duration) time.Duration {
+	return time.Duration(heartbeatStaleIntervals * float64(interval))
+}
+
 // candidate returns the peer as a candidate for election; the peer must have a status.
 func (p *peer) candidate(now time.Time, interval time.Duration) elector.Candidate {
 	c := elector.Candidate{
@@ -108,8 +113,7 @@
 		return u.Sequence > p.status.Sequence
 	}
 	silence := now.Sub(p.lastHeardAt)
-	return silence >= time.Duration(u.Age)*time.Millisecond ||
-		silence > time.Duration(heartbeatStaleIntervals*remoteIntervalFactor*float64(heartbeatInterval))
+	return silence >= time.Duration(u.Age)*time.Millisecond || silence > staleAfter(remoteIntervalFactor*heartbeatInterval)
 }
 
 // keepWithdrawal records that the peer's upstream leaves for good, and corrects a status that says otherwise: the peer may
--- a/mesh/mover/mover_test.go
+++ b/mesh/mover/mover_test.go
@@ -270,10 +270,15 @@
 	m.mutex.Lock()
 	m.dead[n.address] = true
 	m.mutex.Unlock()
+	n.halt()
+	m.tracef("%s dies", n.address)
+}
+
+// halt ends the node's goroutine; the end of the test can still wait for it.
+func (n *node) halt() {
 	n.cancel()
 	<-n.end
 	n.end <- nil
-	m.tracef("%s dies", n.address)
 }
 
 func (m *mesh) setStoreOut(out bool) {
--- a/mesh/mover/silence_test.go
+++ b/mesh/mover/silence_test.go
@@ -22,9 +22,7 @@
 		m.mutex.Lock()
 		m.silentSince[n.address] = time.Now()
 		m.mutex.Unlock()
-		n.cancel()
-		<-n.end
-		n.end <- nil
+		n.halt()
 	}
 }
 
