enroller: a disowned upstream stays withdrawn

Found by reading again, which brought it: when an upstream is disowned, what is known of its instance is forgotten, its withdrawal too. If its service is taken out of the configuration, another upstream announces itself and the service is put back, a delayed announcement of the withdrawn process would bring it back into use (DRAIN). The record of a withdrawal is kept now.

Measured: the new case of TestAnnouncements failed before (the withdrawn upstream is ready again) and passes; the tests of enroller and receiver pass with the race detector.

--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -172,7 +172,9 @@
 		return
 	}
 	e.log.Warn("upstream disowned, as no configuration names its service", "instance", c.announcement.Instance, "service", c.announcement.Service)
-	delete(e.instances, c.announcement.Instance)
+	if !e.instances[c.announcement.Instance].withdrawn {
+		delete(e.instances, c.announcement.Instance)
+	}
 	next := *c
 	next.replaceable = true
 	e.current.Store(&next)
