Review: case 8 spreads the ends of its requests

Cause: the requests ended within 35 ms, so that a slow machine could miss all. Change: they end 4.92 to 4.99 s after the SIGTERM.

--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -44,8 +44,8 @@
 	works := map[string]time.Duration{}
 	var group sync.WaitGroup
 	for i := range 8 {
-		// The endpoint is to end between 4.93 and 4.97 s after the SIGTERM; the last sixth of grace begins at 5 s.
-		work := before + 4930*time.Millisecond + time.Duration(i)*5*time.Millisecond
+		// The endpoint is to end between 4.92 and 4.99 s after the SIGTERM; the last sixth of grace begins at 5 s.
+		work := before + 4920*time.Millisecond + time.Duration(i)*10*time.Millisecond
 		path := fmt.Sprintf("/hub/w%d/%d", work.Milliseconds(), i)
 		works[path] = work
 		group.Go(func() {
