grace: a stopping node lets requests run into the last sixth of its grace period

Cause: the end of callers' requests was the grace period less two fixed times, 0.9 s for the exit and 0.2 s for the answers. At a grace period of 6 s that is 0.1 s before its last sixth, at 3 s 0.6 s.

Ruled out: the link (it ended after the requests) and a shortened deadline (the upstream got 5,998 ms).

The delays in which a stopping node and its upstream still take requests are bounded by a fraction of it. `requests cut off` and request.cut tell what a stop has ended.

Failed before: receiver TestStopWaitsForWork on the untouched code (502 after 1.90 s of a grace period of 3 s, where the upstream answers after 2.48 s).

--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/endpoint"
+	"wisteriaspoke.example/mesh/grace"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/machine"
 	"wisteriaspoke.example/mesh/pauser"
@@ -24,6 +25,8 @@
 	// leavingDelay is how long the upstream of a stopping node still takes new calls. The node runs for a while after the
 	// signal, so that calls started within this time can finish; a shorter time wastes slots in a rolling restart.
 	leavingDelay = 1400 * time.Millisecond
+	// maxLeavingFraction bounds leavingDelay by the time that calls may run.
+	maxLeavingFraction = 0.3
 	// suspectPause is how long an upstream that refused a connection gets no calls, unless it announces itself.
 	suspectPause = 400 * time.Millisecond
 )
@@ -105,6 +108,7 @@
 	log         *slog.Logger
 	listeners   []listener
 	service     string // from the settings
+	grace       grace.Period
 	current     atomic.Pointer[Upstream]
 	stopping    atomic.Bool
 	stopStarted chan struct{} // closed when the node begins to stop
@@ -126,7 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e.log = k.Log
+	e.log, e.grace = k.Log, k.Grace
 	e.service = s.Config().Service
 	e.listeners = kernel.All[listener](k)
 	end := make(chan error, 1)
@@ -142,7 +146,7 @@
 		return ctx.Err()
 	case <-e.stopStarted:
 	}
-	if err := pauser.Pause(ctx, leavingDelay); err != nil {
+	if err := pauser.Pause(ctx, e.grace.Shorten(leavingDelay, maxLeavingFraction)); err != nil {
 		return err
 	}
 	e.markLeaving()
--- a/mesh/kernel/kernel.go
+++ b/mesh/kernel/kernel.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/grace"
 )
 
 // stopWarnDelay is the time after the parts' context is cancelled at which those that still run are logged.
@@ -44,8 +45,9 @@
 type Kernel struct {
 	// Log is the program's logger; set before Run.
 	Log *slog.Logger
-	// DrainTimeout bounds the graceful shutdown of all parts together; set before Run.
-	DrainTimeout time.Duration
+	// Grace is the time between a stop signal and the kill of the process, which bounds the graceful shutdown of all parts
+	// together; set before Run.
+	Grace grace.Period
 
 	parts []namedPart
 }
@@ -57,7 +59,7 @@
 
 // New returns a kernel with one instance of each registered part.
 func New() *Kernel {
-	k := &Kernel{Log: slog.Default(), DrainTimeout: 10 * time.Second}
+	k := &Kernel{Log: slog.Default(), Grace: grace.ForDrain(10 * time.Second)}
 	for _, r := range registeredByPriority() {
 		k.parts = append(k.parts, namedPart{name: r.name, part: r.factory()})
 	}
@@ -172,7 +174,7 @@
 }
 
 func (k *Kernel) drain(ctx context.Context, started int) {
-	drainCtx, cancel := context.WithTimeout(ctx, k.DrainTimeout)
+	drainCtx, cancel := context.WithTimeout(ctx, k.Grace.Drain())
 	defer cancel()
 	for _, n := range k.parts[:started] {
 		if o, ok := n.part.(drainObserver); ok {
--- a/mesh/kernel/main.go
+++ b/mesh/kernel/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"wisteriaspoke.example/mesh/grace"
 	"wisteriaspoke.example/mesh/logger"
 )
 
@@ -25,6 +26,7 @@
 	Check bool          `help:"Check the settings and exit."`
 	Level string        `help:"Lowest level of log lines." enum:"debug,info,warn,error" default:"info" env:"WISTERIASPOKE_LEVEL"`
 	Drain time.Duration `help:"Limit of a graceful shutdown." default:"10s" env:"WISTERIASPOKE_DRAIN"`
+	Grace time.Duration `help:"Time between SIGTERM and the kill of the process; takes the place of --drain if above 0." env:"WISTERIASPOKE_GRACE"`
 }
 
 // Main parses the settings of all registered parts from the arguments and the environment, runs the program until SIGINT
@@ -64,7 +66,10 @@
 	lines := logger.New(os.Stdout, level)
 	defer lines.Close()
 	k.Log = slog.New(lines).With("program", name)
-	k.DrainTimeout = cli.Drain
+	k.Grace = grace.ForDrain(cli.Drain)
+	if cli.Grace > 0 {
+		k.Grace = grace.New(cli.Grace)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := k.Run(ctx); err != nil {
--- a/mesh/receiver/pipeline_test.go
+++ b/mesh/receiver/pipeline_test.go
@@ -14,6 +14,7 @@
 
 	"wisteriaspoke.example/mesh/answer"
 	"wisteriaspoke.example/mesh/call"
+	"wisteriaspoke.example/mesh/grace"
 	"wisteriaspoke.example/mesh/plan"
 	"wisteriaspoke.example/mesh/rule"
 )
@@ -124,13 +125,14 @@
 		<-ctx.Done()
 		return answer.New(answer.Fields{Status: 504, Ran: answer.Maybe})
 	}}
-	r, address := startServer(t, f)
+	period := grace.New(8 * time.Second / 7) // calls end after 1 s
+	r, address := startServer(t, f, func(r *Receiver) { r.grace = period })
 	before := make(chan string, 1)
 	go func() { before <- get(address, "before") }()
 	if got := <-forwarded; got != "before" {
 		t.Fatalf("forwarded %s", got)
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), 1200*time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), period.Drain())
 	defer cancel()
 	drained := make(chan error, 1)
 	go func() { drained <- r.Drain(ctx) }()
@@ -151,3 +153,36 @@
 		t.Errorf("%s was forwarded", <-forwarded)
 	}
 }
+
+// TestStopWaitsForWork guards against LOST: a stopping node that breaks off a request although its upstream answers before the
+// last sixth of the grace period, or that is still there at its end.
+func TestStopWaitsForWork(t *testing.T) {
+	period := grace.New(3 * time.Second)
+	started := make(chan struct{})
+	stop := make(chan time.Time, 1)
+	f := &fakeParts{plan: testPlan(), forward: func(ctx context.Context, _ call.Fields) answer.Answer {
+		close(started)
+		work := time.NewTimer(time.Until((<-stop).Add(2480 * time.Millisecond)))
+		defer work.Stop()
+		select {
+		case <-work.C:
+			return answer.New(answer.Fields{Status: 200, Ran: answer.Yes})
+		case <-ctx.Done():
+			return answer.New(answer.Fields{Status: 502, Ran: answer.Maybe})
+		}
+	}}
+	r, address := startServer(t, f, func(r *Receiver) { r.grace = period })
+	result := make(chan string, 1)
+	go func() { result <- get(address, "long") }()
+	<-started
+	begun := time.Now()
+	stop <- begun
+	ctx, cancel := context.WithTimeout(t.Context(), period.Drain())
+	defer cancel()
+	if err := r.Drain(ctx); err != nil {
+		t.Errorf("the drain ends with %v", err)
+	}
+	if got := <-result; got != "200 close true" {
+		t.Errorf("a request whose upstream answers 2.48 s after the signal ends with %s, %v after it", got, time.Since(begun))
+	}
+}
--- a/mesh/receiver/receiver.go
+++ b/mesh/receiver/receiver.go
@@ -21,6 +21,7 @@
 	"wisteriaspoke.example/mesh/call"
 	"wisteriaspoke.example/mesh/clock"
 	"wisteriaspoke.example/mesh/fault"
+	"wisteriaspoke.example/mesh/grace"
 	"wisteriaspoke.example/mesh/holder"
 	"wisteriaspoke.example/mesh/kernel"
 	"wisteriaspoke.example/mesh/pauser"
@@ -46,12 +47,10 @@
 	defaultTimeout = 10 * time.Second
 	// drainDelay is how long a stopping node accepts new requests, so that callers can notice that it is not ready.
 	drainDelay = 2300 * time.Millisecond
-	// maxDrainDelayFraction bounds drainDelay by the time for a drain, so that the last requests have time to end.
+	// maxDrainDelayFraction bounds drainDelay by the time that calls may run, so that the last requests have time to end.
 	maxDrainDelayFraction = 0.5
 	// backlogTime is how long a stopping node takes the connections that were opened before it stopped listening.
 	backlogTime = 50 * time.Millisecond
-	// answerReserve is the part of the time for a drain that is left for writing the answers of the last requests.
-	answerReserve = 200 * time.Millisecond
 	// stoppingWait is the Retry-After of requests that a stopping node refuses; callers then use another node.
 	stoppingWait = 50 * time.Millisecond
 	// overloadedWait is the Retry-After of requests that are refused because this node holds too many bodies.
@@ -71,6 +70,7 @@
 var (
 	requests  = metrics.GetOrRegisterCounter("request.count", nil)
 	abandoned = metrics.GetOrRegisterCounter("request.abandoned", nil)
+	cut       = metrics.GetOrRegisterCounter("request.cut", nil) // requests in progress that a stop has ended
 )
 
 // forwarder sends requests to endpoints.
@@ -153,7 +153,8 @@
 	dialect     dialect
 	rateLimiter rateLimiter
 	now         func() time.Duration // boot-time clock
-	bodyBuffer  int64                // bytes of request bodies, and of small answers, that may be in memory
+	grace       grace.Period
+	bodyBuffer  int64 // bytes of request bodies, and of small answers, that may be in memory
 	holder      *holder.Holder
 	connections connections
 	listener    *net.TCPListener
@@ -207,7 +208,7 @@
 		return nil, err
 	}
 	r.bodyBuffer, r.holder = memory.BodyBuffer(), memory.Holder()
-	r.log = k.Log
+	r.log, r.grace = k.Log, k.Grace
 	r.connections.max, r.maxBehind = memory.MaxConnections(), memory.MaxBehind()
 	r.holder.SetReclaim(r.dropSlowest)
 	listener, err := net.Listen("tcp", r.Callers)
@@ -320,19 +321,16 @@
 	if r.listener == nil {
 		return nil
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		end := deadline.Add(-answerReserve)
+	calls := r.grace.Calls()
+	if calls > 0 {
+		end := time.Now().Add(calls)
 		r.lastEnd.Store(&end)
+		defer time.AfterFunc(calls, r.cutOff).Stop()
 	}
 	r.draining.Store(true)
-	r.log.Info("drain begins", "active", r.active.Load())
-	delay := drainDelay
-	if end := r.lastEnd.Load(); end != nil {
-		defer time.AfterFunc(time.Until(*end), r.endRequests).Stop()
-		delay = min(delay, time.Duration(maxDrainDelayFraction*float64(time.Until(*end))))
-	}
+	r.log.Info("drain begins", "active", r.active.Load(), "calls", calls.Milliseconds())
 	// The result can be ignored, as the wait below reports a context that has ended.
-	pauser.Pause(ctx, delay)
+	pauser.Pause(ctx, r.grace.Shorten(drainDelay, maxDrainDelayFraction))
 	close(r.stop)
 	// Waiting until no request is in progress would never end while callers keep coming.
 	select {
@@ -343,6 +341,15 @@
 	}
 }
 
+// cutOff ends the requests that are still in progress shortly before the process must end.
+func (r *Receiver) cutOff() {
+	if n := r.active.Load(); n > 0 {
+		cut.Inc(n)
+		r.log.Warn("requests cut off", "active", n)
+	}
+	r.endRequests()
+}
+
 // Limits returns the configuration's limits, or defaults for those that it does not set.
 func (r *Receiver) Limits() plan.Limits {
 	l := plan.Limits{}
