--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -84,9 +84,22 @@
 // instanceRecord holds the latest process of an instance and its last announcement.
 type instanceRecord struct {
 	heardAt     time.Time // of the instance
-	startMillis int64     // if withdrawn, all processes that started until then have left
+	startMillis int64
 	sequence    int64
-	withdrawn   bool
+	left        bool // a process of the instance has left, and all that started until leftMillis
+	leftMillis  int64
+	leftAt      time.Time // when that became known
+}
+
+// withdrawn reports whether the latest process has left.
+func (r instanceRecord) withdrawn() bool { return r.left && r.startMillis <= r.leftMillis }
+
+// leftUntil returns a copy that says that all processes which started until startMillis have left, as is known from now on.
+func (r instanceRecord) leftUntil(startMillis int64, now time.Time) instanceRecord {
+	if !r.left || startMillis > r.leftMillis {
+		r.left, r.leftMillis, r.leftAt = true, startMillis, now
+	}
+	return r
 }
 
 // listener is notified of each change of the current upstream.
@@ -113,7 +126,7 @@
 	stopping    atomic.Bool
 	stopStarted chan struct{} // closed when the node begins to stop
 
-	mutex     sync.Mutex                // guards instances and the order of changes
+	mutex     sync.Mutex                // guards the following and the order of changes
 	instances map[string]instanceRecord // by instance identifier
 }
 
@@ -176,8 +189,11 @@
 		return
 	}
 	e.log.Warn("upstream disowned, as no configuration names its service", "instance", c.announcement.Instance, "service", c.announcement.Service)
-	if !e.instances[c.announcement.Instance].withdrawn {
+	if r := e.instances[c.announcement.Instance]; !r.left {
 		delete(e.instances, c.announcement.Instance)
+	} else if !r.withdrawn() {
+		r.startMillis, r.sequence = r.leftMillis, 0
+		e.instances[c.announcement.Instance] = r
 	}
 	next := *c
 	next.replaceable = true
@@ -190,13 +206,17 @@
 	defer e.mutex.Unlock()
 	r, known := e.instances[a.Instance]
 	if known && (a.StartMillis < r.startMillis ||
-		a.StartMillis == r.startMillis && (r.withdrawn || a.Sequence < r.sequence)) {
+		a.StartMillis == r.startMillis && (r.withdrawn() && !a.Leaving || a.Sequence < r.sequence)) {
 		return false
 	}
 	if c := e.current.Load(); c != nil && !c.replaceable && c.announcement.Instance != a.Instance && a.StartMillis < c.announcement.StartMillis {
 		return false
 	}
-	e.remember(a.Instance, instanceRecord{startMillis: a.StartMillis, sequence: a.Sequence})
+	r.startMillis, r.sequence = a.StartMillis, a.Sequence
+	if a.Leaving {
+		r = r.leftUntil(a.StartMillis, e.now())
+	}
+	e.remember(a.Instance, r)
 	state := endpoint.Ready
 	if a.Leaving || e.stopping.Load() {
 		state = endpoint.Leaving
@@ -236,9 +256,8 @@
 	if startMillis == 0 && !known {
 		startMillis = e.now().UnixMilli()
 	}
-	r.withdrawn = true
 	r.startMillis = max(r.startMillis, startMillis)
-	e.remember(instance, r)
+	e.remember(instance, r.leftUntil(r.startMillis, e.now()))
 	switch c := e.current.Load(); {
 	case c == nil:
 		// The other nodes must know, so that they can tell this one after its next restart.
@@ -247,12 +266,17 @@
 			state:        endpoint.Leaving, withdrawn: true, replaceable: true,
 		})
 	case c.announcement.Instance == instance:
-		next := c.withState(endpoint.Leaving, c.until)
-		next.withdrawn = true
-		e.publish(next)
+		e.publishWithdrawn(c)
 	}
 }
 
+// publishWithdrawn publishes that the current upstream leaves for good. The caller must hold the mutex.
+func (e *Enroller) publishWithdrawn(c *Upstream) {
+	next := c.withState(endpoint.Leaving, c.until)
+	next.withdrawn = true
+	e.publish(next)
+}
+
 // SetLimit records the calls a second that the process takes by its responses, or 0 if it names no limit.
 func (e *Enroller) SetLimit(instance string, startMillis int64, perSecond float64) {
 	e.mutex.Lock()
