enroller: a node that has just started confirms announcements nobody vouches for

A late heartbeat of an endpoint that had left while the store was out brought it back after a kill of all nodes (DRAIN).

Cause: a node that has just started took the first announcement that arrived for the present state. It may have been sent before, and its sender may have ended.

Change: for 30 s after a start, the first announcement of an unknown instance that has started before the node is refused, and a further one of the same process is taken; endpoints repeat at once what is not acknowledged. Nodes of the region tell a restarted node which upstream it had, and that one is taken at once, so that only a node that nobody remembers asks.

--- a/mesh/enroller/enroller.go
+++ b/mesh/enroller/enroller.go
@@ -116,7 +116,8 @@
 
 // Enroller holds the current upstream, which is read without a lock.
 type Enroller struct {
-	now func() time.Time
+	now       func() time.Time
+	startedAt time.Time
 
 	log         *slog.Logger
 	listeners   []listener
@@ -126,14 +127,16 @@
 	stopping    atomic.Bool
 	stopStarted chan struct{} // closed when the node begins to stop
 
-	mutex     sync.Mutex                // guards the following and the order of changes
-	instances map[string]instanceRecord // by instance identifier
+	mutex       sync.Mutex                // guards the following and the order of changes
+	instances   map[string]instanceRecord // by instance identifier
+	unconfirmed map[string]unconfirmed    // by instance identifier, of those that are not among instances
+	vouched     process                   // the last upstream of an earlier process of this node, by other nodes
 }
 
 // New returns an enroller that notifies the listeners; Start replaces the log and the listeners by those of the kernel.
 func New(log *slog.Logger, ls ...listener) *Enroller {
 	return &Enroller{
-		now: time.Now, instances: map[string]instanceRecord{}, log: log, listeners: ls, stopStarted: make(chan struct{}),
+		now: time.Now, startedAt: time.Now(), instances: map[string]instanceRecord{}, unconfirmed: map[string]unconfirmed{}, log: log, listeners: ls, stopStarted: make(chan struct{}),
 	}
 }
 
--- a/mesh/enroller/recall.go
+++ b/mesh/enroller/recall.go
@@ -4,12 +4,62 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"wisteriaspoke.example/mesh/withdrawal"
 )
 
-// maxWithdrawals is the number of withdrawals that are kept for the next process of this node, the latest ones.
-const maxWithdrawals = 16
+const (
+	// maxAnnouncementDelay is the time for which announcements of before the start of this node may still arrive.
+	maxAnnouncementDelay = 30 * time.Second
+	// maxWithdrawals is the number of withdrawals that are kept for the next process of this node, the latest ones.
+	maxWithdrawals = 16
+)
+
+// process identifies one process of an upstream.
+type process struct {
+	instance    string
+	startMillis int64
+}
+
+// unconfirmed is the last announcement that was not confirmed of an instance's process.
+type unconfirmed struct {
+	startMillis int64
+	sequence    int64
+}
+
+// Confirm reports whether the announcement may be applied. In the first time after the start of this node, one of an unknown
+// instance that has started earlier needs another one of the same process before it, unless another node has vouched for that
+// process: it may have been sent before this node's start, and its sender may have left since, or have ended. An upstream that
+// is refused announces itself again at once.
+func (e *Enroller) Confirm(a Announcement) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	_, known := e.instances[a.Instance]
+	vouched := e.vouched.instance == a.Instance && e.vouched.startMillis == a.StartMillis
+	if known || vouched || a.Leaving || a.StartMillis > e.startedAt.UnixMilli() || e.now().Sub(e.startedAt) > maxAnnouncementDelay {
+		return true
+	}
+	u, seen := e.unconfirmed[a.Instance]
+	switch {
+	case seen && a.StartMillis == u.startMillis && a.Sequence > u.sequence:
+		delete(e.unconfirmed, a.Instance)
+		return true
+	case !seen && len(e.unconfirmed) < maxInstances, seen && a.StartMillis > u.startMillis:
+		e.unconfirmed[a.Instance] = unconfirmed{startMillis: a.StartMillis, sequence: a.Sequence}
+	}
+	return false
+}
+
+// Vouch records that an earlier process of this node had the upstream in use until its end, as another node says. A withdrawal
+// that only that process knew is in the store.
+func (e *Enroller) Vouch(instance string, startMillis int64) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if startMillis >= e.vouched.startMillis {
+		e.vouched = process{instance: instance, startMillis: startMillis}
+	}
+}
 
 // Recall adds what earlier processes of this node were told.
 func (e *Enroller) Recall(ws []withdrawal.Withdrawal) {
--- a/mesh/gossiper/gossiper.go
+++ b/mesh/gossiper/gossiper.go
@@ -101,8 +101,10 @@
 	Rate() float64
 }
 
-// withdrawer holds what is known of the local upstream.
-type withdrawer interface {
+// registry holds what is known of the local upstream.
+type registry interface {
+	// Vouch records that an earlier process of this node had the upstream in use; it must not block.
+	Vouch(instance string, startMillis int64)
 	// Withdraw records that the instance's process which started at startMillis leaves, which is final; it must not block.
 	Withdraw(instance string, startMillis int64)
 }
@@ -133,7 +135,7 @@
 	decoder           recordDecoder
 	splitProvider     splitProvider
 	loadProvider      loadProvider
-	withdrawer        withdrawer
+	registry          registry
 	crashHistory      crashHistory
 	orderObservers    []orderObserver
 	prover            prover // nil if no part uses proofs
@@ -191,7 +193,7 @@
 	if g.loadProvider, err = kernel.Need[loadProvider](k); err != nil {
 		return nil, err
 	}
-	if g.withdrawer, err = kernel.Need[withdrawer](k); err != nil {
+	if g.registry, err = kernel.Need[registry](k); err != nil {
 		return nil, err
 	}
 	if g.crashHistory, err = kernel.Need[crashHistory](k); err != nil {
@@ -437,7 +439,9 @@
 		g.handleRevisions(p, b)
 	case *withdrawal:
 		g.log.Info("upstream withdrawn, by another node", "peer", p.address, "instance", b.Instance, "born", b.Start)
-		g.withdrawer.Withdraw(b.Instance, int64(b.Start))
+		g.registry.Withdraw(b.Instance, int64(b.Start))
+	case *lastUpstream:
+		g.registry.Vouch(b.Instance, int64(b.Start))
 	case *suspicions:
 		g.crashHistory.Merge(b.List)
 	case *heartbeats:
@@ -459,9 +463,8 @@
 		g.viewStale = true
 		g.logEndpoint(p)
 	}
-	if old != nil && old.Incarnation != u.Incarnation && p.withdrawn != (withdrawal{}) {
-		w := p.withdrawn
-		g.sender.Send(p.address, message.New(kindWithdrawal, &w))
+	if old != nil && old.Incarnation != u.Incarnation {
+		g.tellRestarted(p, old)
 	}
 	if (old == nil || old.Incarnation != u.Incarnation) && (u.Region == g.config.Region || u.ConfigurationRevision == 0) && g.introduces(p) {
 		// A node that starts receives addresses from its own region, and from every region while it has no configuration.
@@ -476,6 +479,16 @@
 	}
 }
 
+// tellRestarted sends a peer that has restarted what is known of its upstream. old is its status before.
+func (g *Gossiper) tellRestarted(p *peer, old *status) {
+	if w := p.withdrawn; w != (withdrawal{}) {
+		g.sender.Send(p.address, message.New(kindWithdrawal, &w))
+	}
+	if e := old.Endpoint; e != nil && !e.Withdrawn() && old.Region == g.config.Region {
+		g.sender.Send(p.address, message.New(kindUpstream, &lastUpstream{Instance: e.Instance(), Start: e.Incarnation()}))
+	}
+}
+
 func (g *Gossiper) logEndpoint(p *peer) {
 	if e := p.status.Endpoint; e != nil {
 		g.log.Info("endpoint changed", "peer", p.address, "instance", e.Instance(), "service", e.Service(),
--- a/mesh/gossiper/gossiper_test.go
+++ b/mesh/gossiper/gossiper_test.go
@@ -116,6 +116,7 @@
 func (n *node) Load() (int, int64)          { return 3, 1500 }
 
 func (n *node) Withdraw(instance string, startMillis int64) { n.own.Withdraw(instance, startMillis) }
+func (n *node) Vouch(instance string, startMillis int64)    { n.own.Vouch(instance, startMillis) }
 
 // start adds a node that has the seeds; the first letter of its address names its region.
 func (n *network) start(address string, seeds ...string) *node {
@@ -128,7 +129,7 @@
 	x.crashes = quarantiner.New(slog.New(slog.DiscardHandler))
 	x.Gossiper = &Gossiper{
 		now: time.Now, log: slog.New(slog.DiscardHandler), inputs: make(chan any, inputQueueSize), peers: map[string]*peer{},
-		records: newRecordSet(), orders: map[string]order.Order{}, deliveries: map[string]*delivery{}, planKnown: make(chan struct{}), sender: x, decoder: x, splitProvider: x, loadProvider: x, withdrawer: x,
+		records: newRecordSet(), orders: map[string]order.Order{}, deliveries: map[string]*delivery{}, planKnown: make(chan struct{}), sender: x, decoder: x, splitProvider: x, loadProvider: x, registry: x,
 		crashHistory: x.crashes,
 		config: machine.Config{
 			Node: address, DataCentre: address[:2], Region: address[:1], Incarnation: uint64(time.Now().UnixMilli()),
@@ -581,3 +582,36 @@
 		}
 	})
 }
+
+// TestRestartedNodeConfirmsUpstream guards against a restarted node that holds its upstream back although other nodes know it, and
+// against UNASKED and DRAIN: one that takes another upstream, or one that has left, without a further announcement.
+func TestRestartedNodeConfirmsUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, addresses := startEnrolled(t)
+		x := n.restart("a1-y", addresses...)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		for _, c := range []struct {
+			instance    string
+			startMillis int64
+			want        bool
+		}{{"i-a1-y", 1, true}, {"i-a1-y", 0, false}, {"i-other", 1, false}} {
+			a := enroller.Announcement{Instance: c.instance, Service: "s", Version: "v1", Slots: 4, StartMillis: c.startMillis, Sequence: 7}
+			if got := x.own.Confirm(a); got != c.want {
+				t.Errorf("the first announcement of %s of %d is confirmed: %t", c.instance, c.startMillis, got)
+			}
+		}
+		enrol(t, n.nodes["a1-x"], 5, true)
+		time.Sleep(100 * time.Millisecond)
+		x = n.restart("a1-x", addresses...)
+		time.Sleep(100 * time.Millisecond)
+		synctest.Wait()
+		a := enroller.Announcement{Instance: "i-a1-x", Service: "s", Version: "v1", Slots: 4, StartMillis: 1, Sequence: 4}
+		if x.own.Announce(a) {
+			t.Error("the late announcement of an upstream that has left is applied")
+		}
+		for a := range n.nodes {
+			n.kill(a)
+		}
+	})
+}
--- a/mesh/gossiper/messages.go
+++ b/mesh/gossiper/messages.go
@@ -17,6 +17,7 @@
 	kindRevisions  = "gossip.revisions"
 	kindWithdrawal = "gossip.withdrawal"
 	kindSuspicions = "gossip.suspicions"
+	kindUpstream   = "gossip.upstream"
 )
 
 func init() {
@@ -26,6 +27,7 @@
 	encoder.Register(kindNodes, func() any { return new(nodes) })
 	encoder.Register(kindRevisions, func() any { return new(revisions) })
 	encoder.Register(kindWithdrawal, func() any { return new(withdrawal) })
+	encoder.Register(kindUpstream, func() any { return new(lastUpstream) })
 	encoder.Register(kindSuspicions, func() any { return new(suspicions) })
 	encoder.Register(kindHeartbeats, func() any { return new(heartbeats) })
 }
@@ -57,6 +59,13 @@
 	Start    uint64 // of the process; earlier ones of the instance have left, too
 }
 
+// lastUpstream is the message that tells a restarted node which upstream it had, as far as another node of its region knows.
+type lastUpstream struct {
+	_        struct{} `cbor:",toarray"`
+	Instance string
+	Start    uint64 // of the process
+}
+
 // suspicions is the message that shares which requests have crashed upstreams.
 type suspicions struct {
 	_    struct{} `cbor:",toarray"`
--- a/mesh/persister/persister_test.go
+++ b/mesh/persister/persister_test.go
@@ -113,7 +113,10 @@
 		p.kill()
 		return nil
 	case "announce":
-		p.enroller.Announce(a)
+		// The platform's adapter does the same.
+		if p.enroller.Confirm(a) {
+			p.enroller.Announce(a)
+		}
 	case "drain":
 		a.Leaving = true
 		p.enroller.Announce(a)
