revalidator: TestWholePath names a time to come back as the forwarder does

Cause: the test's stand-in for the forwarder hands on the runner's answers as they are. A request that the receiver accepts right before its key is revoked is refused by the runner without a time to come back, which the forwarder sets for all refusals. The test then reports a 503 without one. The race is in the test. Change: the stand-in sets the time where the runner names none. All checks stay.

--- a/mesh/revalidator/path_test.go
+++ b/mesh/revalidator/path_test.go
@@ -99,10 +99,17 @@
 	}
 }
 
-// Forward runs the request beside this node.
+// Forward runs the request beside this node. As the forwarder does, it names a time to come back where the runner names none, for
+// example for a key that was revoked after the receiver has accepted it.
 func (s *surroundings) Forward(ctx context.Context, _ *view.View, _ *rule.Rule, f call.Fields) answer.Answer {
 	f.Service = "s"
-	return s.runner.Serve(ctx, call.New(f))
+	a := s.runner.Serve(ctx, call.New(f))
+	if a.Ran() == answer.No && a.RetryAfter() == 0 {
+		refused := a.Fields()
+		refused.RetryAfter = 250
+		a = answer.New(refused)
+	}
+	return a
 }
 
 var around = &surroundings{}
