watcher, revalidator: proofs of the configuration are younger, and reads earlier

Cause, as far as it shows here: the parts of the bound leave too little for a slow host or store. Nodes read the store themselves when their proof is 2 s old, as proofs by watches are that old in calm, and steps, a tick and the read come on top.

In real processes each node reads the store itself, 1.8 to 2.1 s after the moment of its last proof.

Change: the second watcher polls the store's revision every 0.6 s instead of watching, which makes proofs at most 0.7 s old in calm (2.2 s before). Nodes read at 0.55 of the bound instead of 0.8, and the further readers of a region within 0.1 s. The spacing of two watchers is not needed any more.

--- a/mesh/gossiper/outage_test.go
+++ b/mesh/gossiper/outage_test.go
@@ -30,10 +30,12 @@
 type sharedStore struct {
 	mutex   sync.Mutex
 	version uint64
-	silent  bool // calls that are not served time out instead of failing at once
+	silent  bool          // calls that are not served time out instead of failing at once
+	delay   time.Duration // of each answer
 	refused func(address string) bool
 	changed chan struct{}
 	calls   int // that were not served
+	lists   int
 }
 
 // set changes the store and wakes the watches.
@@ -80,8 +82,11 @@
 		return nil, 0, err
 	}
 	n.store.mutex.Lock()
-	defer n.store.mutex.Unlock()
-	return n.store.records(kind), n.store.version, nil
+	n.store.lists++
+	rs, at, delay := n.store.records(kind), n.store.version, n.store.delay
+	n.store.mutex.Unlock()
+	time.Sleep(delay)
+	return rs, at, nil
 }
 
 // records returns the records of the kind; the caller holds the mutex.
@@ -114,6 +119,17 @@
 	}
 }
 
+func (n *storeNode) Unchanged(ctx context.Context, _ record.Kind, at uint64) (bool, error) {
+	if err := n.begin(ctx); err != nil {
+		return false, err
+	}
+	n.store.mutex.Lock()
+	unchanged, delay := n.store.version == at, n.store.delay
+	n.store.mutex.Unlock()
+	time.Sleep(delay)
+	return unchanged, nil
+}
+
 func (n *storeNode) Delete(context.Context, record.Kind, string) error { return nil }
 func (n *storeNode) Put(ctx context.Context, _ record.Kind, _ string, _ []byte) error {
 	return n.begin(ctx)
@@ -311,3 +327,56 @@
 		})
 	}
 }
+
+// TestConfigurationOnSilentLinks guards against CONFIG: all connections between nodes go silent and count as open, so that each node
+// has to read the store itself, and in the worst phase of the reads before does so after the bound, or with nothing left of it for a
+// slow host. The store's answers take as long as on the operators' days with a slow store. If the watchers have lost power before,
+// the nodes have young proofs by reads of their own region.
+func TestConfigurationOnSilentLinks(t *testing.T) {
+	const configApply, answer = 2500 * time.Millisecond, 388 * time.Millisecond
+	const phases, phaseStep, changes, changeStep = 6, 210 * time.Millisecond, 2, 820 * time.Millisecond
+	for _, perRegion := range []int{3, 20} {
+		for _, watchersLost := range []bool{false, true} {
+			var addresses []string
+			for _, region := range []string{"a", "b", "c"} {
+				for i := range perRegion {
+					addresses = append(addresses, fmt.Sprintf("%s%d-%02d", region, i%2, i))
+				}
+			}
+			watchers := addresses[:3]
+			var worst time.Duration
+			for i := range phases * changes {
+				synctest.Test(t, func(t *testing.T) {
+					n := newNetwork()
+					s := &sharedStore{version: 7, refused: func(string) bool { return false }, changed: make(chan struct{})}
+					stop := startWatching(t, n, s, addresses, configApply)
+					defer stop()
+					time.Sleep(12 * time.Second)
+					nodes := addresses
+					if watchersLost {
+						nodes = addresses[3:]
+						n.silence(watchers...)
+						s.set(func() { s.refused, s.silent = func(a string) bool { return slices.Contains(watchers, a) }, true })
+						time.Sleep(1500 * time.Millisecond)
+					}
+					time.Sleep(time.Duration(i%phases) * phaseStep)
+					s.set(func() { s.delay = answer })
+					n.silence(addresses...)
+					time.Sleep(time.Duration(i/phases) * changeStep)
+					s.set(func() { s.version = 9 })
+					began := time.Now()
+					for _, a := range nodes {
+						for n.nodes[a].View().Plan().Version() != 9 && time.Since(began) < 2*configApply {
+							time.Sleep(5 * time.Millisecond)
+						}
+					}
+					worst = max(worst, time.Since(began))
+				})
+			}
+			t.Logf("%d nodes a region, watchers lost before %t: the last node has the configuration after %v at the worst", perRegion, watchersLost, worst)
+			if worst > configApply {
+				t.Errorf("%d nodes a region, watchers lost before %t: %v, the bound is %v", perRegion, watchersLost, worst, configApply)
+			}
+		}
+	}
+}
--- a/mesh/revalidator/distributor.go
+++ b/mesh/revalidator/distributor.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// maxShorteningDivisor bounds the part of a watch's wait that is left out to space the watches. The rest, 1.05 s of 1.2 s,
-	// is longer than the second for which a watch may miss changes, so that such a watch ends with an error.
-	maxShorteningDivisor = 8
 	// singleReaders is the number of nodes of a region that read the store one after the other.
 	singleReaders = 3
 	// relays is the number of nodes of each other region that a proof is sent to. The second one passes it on if nothing as
@@ -62,7 +59,6 @@
 	nodes           func() []elector.Candidate
 
 	proofs atomic.Pointer[proofs]
-	other  atomic.Int64 // the moment of the newest proof that other nodes have sent, in nanoseconds
 
 	relater  *clockrelater.ClockRelater
 	contacts map[string]*contact
@@ -90,7 +86,6 @@
 		contacts: map[string]*contact{}, startAt: now(), passed: proof{moment: never}, passedAt: never, local: never,
 	}
 	d.proofs.Store(&proofs{})
-	d.other.Store(int64(never))
 	return d
 }
 
@@ -140,20 +135,6 @@
 	}
 }
 
-// space returns the pause before this node's next watch, and the wait of that watch, with which it begins halfway through a
-// watch with the same wait of another node. Watches of two nodes that begin at the same time prove no more than one.
-func (d *distributor) space(wait time.Duration) (pause, next time.Duration) {
-	// The other node began its current watch when the one of its last proof ended.
-	running := d.now() - time.Duration(d.other.Load()) - wait
-	switch {
-	case running < 0 || running >= wait:
-		return 0, wait
-	case running < wait/2:
-		return wait/2 - running, wait
-	}
-	return 0, wait - min(running-wait/2, wait/maxShorteningDivisor)
-}
-
 // gains reports whether the proof is worth passing on: it is newer than the newest that this node has passed on, or has got
 // from other nodes of its region.
 func (d *distributor) gains(p proof) bool {
@@ -255,9 +236,6 @@
 	}
 	p := proof{moment: time.Duration(m.Moment) * time.Millisecond, version: m.Version}
 	added := d.keep(p)
-	if added {
-		d.other.Store(max(d.other.Load(), int64(p.moment)))
-	}
 	switch m.Duty {
 	case dutyNone:
 		if added {
--- a/mesh/revalidator/revalidator.go
+++ b/mesh/revalidator/revalidator.go
@@ -29,6 +29,9 @@
 const (
 	// tickInterval is the interval at which reads and messages that are due are looked for.
 	tickInterval = 100 * time.Millisecond
+	// pollInterval is the pause between two polls. With the ways of a proof it is well below the age at which nodes read the
+	// store themselves.
+	pollInterval = 600 * time.Millisecond
 	// forgetInterval is the interval at which nodes that are gone are forgotten.
 	forgetInterval = 30 * time.Second
 	// readTimeout bounds a read of the store; other nodes read it meanwhile.
@@ -190,14 +193,12 @@
 	}
 }
 
-// Space returns the pause before this node's next watch of the configuration, and the wait of that watch, so that the watches of
-// several nodes do not begin at the same time.
-func (r *Revalidator) Space(wait time.Duration) (pause, next time.Duration) {
-	d := r.started.Load()
-	if d == nil {
-		return 0, wait
+// PollInterval returns the pause between two polls of the configuration by one node, which keep all proofs young in calm.
+func (r *Revalidator) PollInterval() time.Duration {
+	if !r.Proves() {
+		return 0
 	}
-	return d.space(wait)
+	return pollInterval
 }
 
 // Handle queues the messages of this part and reports whether m is one.
--- a/mesh/revalidator/schedule.go
+++ b/mesh/revalidator/schedule.go
@@ -10,19 +10,20 @@
 	revokeScale = 0.5
 )
 
-// minApply is the lowest bound that nodes read for. In calm, proofs are up to 2 s old, as watches take 1.2 s, and below it all
-// nodes would read all the time.
+// minApply is the lowest bound that nodes read for. In calm, proofs are up to 0.9 s old, and for a much lower bound nodes would
+// read whenever one was late.
 const minApply = 2500 * time.Millisecond
 
 // Fractions of --apply.
 const (
 	// readFraction is the age of the newest proof from which nodes read the store themselves, and readStepFraction the
-	// further time for each node of the region that precedes.
-	readFraction     = 0.8
+	// further time for each node of the region that precedes. What is left of the bound after all steps is for a store
+	// and a host that are slow.
+	readFraction     = 0.55
 	readStepFraction = 0.03
 	// otherReadersFraction is the time in which all nodes of the region after singleReaders read, so that each one has read in
 	// time even if no message arrives. Those that precede may have lost power without a word.
-	otherReadersFraction = 0.08
+	otherReadersFraction = 0.04
 	// regionStepFraction is the further time for each region that precedes, so that the read of one region reaches the
 	// others before these read themselves.
 	regionStepFraction = 0.015
--- a/mesh/revalidator/simulation_test.go
+++ b/mesh/revalidator/simulation_test.go
@@ -215,7 +215,7 @@
 	h.watching = true
 	pause := time.Duration(0)
 	if h.name == names[1] {
-		pause, wait = h.space(wait)
+		pause, wait = pollInterval, 0
 	}
 	h.sim.after(pause, nil, h, func(h *host) {
 		h.read(wait, func(failed bool) {
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -41,8 +41,11 @@
 	spareBatchPause = time.Second
 	// watchCallName names watches in log lines.
 	watchCallName = "watch"
-	// spacedRank is the rank of the watcher whose watches are spaced from those of the first.
-	spacedRank = 1
+	// pollingRank is the rank of the node that polls the configuration instead of watching it, where nodes prove how fresh
+	// theirs is. A watch proves only what was so when it began, a poll what is so now.
+	pollingRank = 1
+	// pollTimeout bounds a poll, as its connection may have gone silent.
+	pollTimeout = time.Second
 	// electionPollInterval is the interval at which a node that does not watch checks whether it should.
 	electionPollInterval = 250 * time.Millisecond
 	// minTakeover and maxTakeover bound the random pause before a node watches whose last call to the store failed. They
@@ -81,6 +84,9 @@
 	// Watch waits for a change after the revision and returns all changes since; no change is not an error. An error of
 	// kind Gone means that the store no longer has the changes.
 	Watch(ctx context.Context, kind record.Kind, after uint64, wait time.Duration) (rs []record.Record, at uint64, err error)
+	// Unchanged reports whether nothing in the store has changed since the revision of an earlier list or watch of the kind. It
+	// may be wrong only by reporting a change.
+	Unchanged(ctx context.Context, kind record.Kind, at uint64) (bool, error)
 	// Put creates or replaces an object, whatever its revision.
 	Put(ctx context.Context, kind record.Kind, name string, spec []byte) error
 	// Delete removes an object, whatever its revision; that there is none is not an error.
@@ -112,10 +118,10 @@
 	Config() machine.Config
 }
 
-// spacer spaces the watches of the configuration that several nodes make.
-type spacer interface {
-	// Space returns the pause before the next watch and the wait of that watch.
-	Space(wait time.Duration) (pause, next time.Duration)
+// prover keeps proofs of how fresh the configuration is.
+type prover interface {
+	// PollInterval returns the pause between two polls of the configuration, or 0 if none are needed.
+	PollInterval() time.Duration
 }
 
 // bootClock is a clock that also counts the time during which the host was suspended.
@@ -129,7 +135,7 @@
 	log          *slog.Logger
 	store        store
 	cluster      cluster
-	spacers      []spacer
+	provers      []prover    // at most one
 	clocks       []bootClock // the first one is used; empty for the host's own
 	node         string      // address of this node
 	deregistered atomic.Bool // this node stops
@@ -148,7 +154,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w.spacers, w.clocks = kernel.All[spacer](k), kernel.All[bootClock](k)
+	w.provers, w.clocks = kernel.All[prover](k), kernel.All[bootClock](k)
 	w.log, w.node = k.Log, s.Config().Node
 	end := make(chan error, 1)
 	go func() {
@@ -282,12 +288,13 @@
 			watching = true
 			w.log.Info("watch begins", "kind", kind, "place", rank)
 		}
+		pollInterval := time.Duration(0)
+		if kind == record.Configuration && rank == pollingRank {
+			pollInterval = w.pollInterval()
+		}
 		wait := watchWaits[kind][rank]
-		if kind == record.Configuration && rank == spacedRank {
-			var err error
-			if wait, err = w.space(ctx, wait); err != nil {
-				return err
-			}
+		if pollInterval > 0 {
+			wait = 0
 		}
 		changed, err := w.fetchChanges(ctx, kind, wait, &at)
 		var delay time.Duration
@@ -295,6 +302,8 @@
 		case err != nil:
 			w.cluster.YieldWatch()
 			delay = b.next()
+		case pollInterval > 0:
+			b, delay = backoff{}, pollInterval
 		case changed && rank > 0:
 			b, delay = backoff{}, spareBatchPause
 		case changed:
@@ -308,24 +317,34 @@
 	}
 }
 
-// space pauses and returns the wait of the next watch, so that it does not begin together with that of the first watcher.
-func (w *Watcher) space(ctx context.Context, wait time.Duration) (time.Duration, error) {
-	for _, s := range w.spacers {
-		var pause time.Duration
-		pause, wait = s.Space(wait)
-		if err := pauser.Pause(ctx, pause); err != nil {
-			return 0, err
-		}
+// pollInterval returns the pause between two polls of the configuration, or 0 if it is to be watched.
+func (w *Watcher) pollInterval() time.Duration {
+	interval := time.Duration(0)
+	for _, p := range w.provers {
+		interval = max(interval, p.PollInterval())
 	}
-	return wait, nil
+	return interval
 }
 
-// fetchChanges lists or watches once, adds what it got, and sets at to its revision; at is zero before the first list.
+// fetchChanges lists or watches once, adds what it got, and sets at to its revision; at is zero before the first list. With a
+// wait of 0 it lists only if the store has changed since.
 func (w *Watcher) fetchChanges(
 	ctx context.Context, kind record.Kind, wait time.Duration, at *uint64,
 ) (changed bool, err error) {
 	var rs []record.Record
 	var next uint64
+	if wait == 0 && *at != 0 {
+		unchanged := false
+		began := w.bootTime()
+		err = w.callStoreWithin(ctx, "poll "+string(kind), pollTimeout, func(ctx context.Context) error {
+			unchanged, err = w.store.Unchanged(ctx, kind, *at)
+			return err
+		})
+		if err != nil || unchanged && w.cluster.AddRead(nil, began) {
+			return false, err
+		}
+		*at = 0
+	}
 	began := w.bootTime()
 	if *at == 0 {
 		err = w.callStore(ctx, "list "+string(kind), func(ctx context.Context) error {
--- a/mesh/watcher/watcher_test.go
+++ b/mesh/watcher/watcher_test.go
@@ -108,6 +108,15 @@
 	}
 }
 
+func (s *fakeStore) Unchanged(ctx context.Context, kind record.Kind, at uint64) (bool, error) {
+	if err := s.begin(ctx, "poll %s from %d", kind, at); err != nil {
+		return false, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.at == at, nil
+}
+
 func (s *fakeStore) Delete(ctx context.Context, kind record.Kind, name string) error {
 	if err := s.begin(ctx, "delete %s %s", kind, name); err != nil {
 		return err
@@ -157,6 +166,7 @@
 	peers     []elector.Candidate
 	lossy     bool // the next read is lost
 	lateReads int  // reads whose moment is not before their call
+	reads     []time.Duration
 }
 
 func (f *fakeCluster) AddRecords(rs []record.Record) {
@@ -171,6 +181,7 @@
 	f.mutex.Lock()
 	lost := f.lossy
 	f.lossy = false
+	f.reads = append(f.reads, time.Since(f.store.startedAt))
 	f.store.mutex.Lock()
 	if began > f.store.begunAt {
 		f.lateReads++
@@ -199,6 +210,8 @@
 
 func (f *fakeCluster) YieldWatch() {}
 
+func (f *fakeCluster) PollInterval() time.Duration { return 600 * time.Millisecond }
+
 func (f *fakeCluster) Nodes() []elector.Candidate {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -234,6 +247,16 @@
 		events []event
 		until  time.Duration
 	}{
+		{"polled", []event{ // the node of the second rank
+			{100 * time.Millisecond, setPeers(1)}, {2 * time.Second, changeConfig},
+			{3 * time.Second, func(s *fakeStore, _ *fakeCluster) { s.set(func() { s.at++ }) }}, // of another kind
+			{4100 * time.Millisecond, func(s *fakeStore, _ *fakeCluster) { s.set(func() { s.silent = true }); s.change() }},
+			{4800 * time.Millisecond, func(s *fakeStore, _ *fakeCluster) { s.set(func() { s.silent = false }) }},
+			{7 * time.Second, func(_ *fakeStore, f *fakeCluster) {
+				f.mutex.Lock()
+				defer f.mutex.Unlock()
+				f.lossy = true
+			}}}, 9500 * time.Millisecond},
 		{"quick-succession", []event{{time.Second, changeConfig}, {1050 * time.Millisecond, changeConfig}, {1100 * time.Millisecond, changeConfig}, {3 * time.Second, changeConfig}}, 4 * time.Second},
 		{"history-gone", []event{{time.Second, func(s *fakeStore, _ *fakeCluster) { s.set(func() { s.gone = true }) }}, {2 * time.Second, changeConfig}}, 3 * time.Second},
 		{"stalled-watch", []event{ // a change that a watch misses must be found after a short wait
@@ -262,7 +285,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeStore{startedAt: time.Now(), at: 1, changes: []record.Record{{Kind: record.Configuration, Name: "main", Revision: 1}}, changed: make(chan struct{})}
 				f := &fakeCluster{store: s}
-				w := &Watcher{log: slog.New(slog.DiscardHandler), store: s, cluster: f, node: "m"}
+				w := &Watcher{log: slog.New(slog.DiscardHandler), store: s, cluster: f, node: "m", provers: []prover{f}}
 				ctx, cancel := context.WithCancel(context.Background())
 				end := make(chan error, 1)
 				go func() { end <- w.watchKind(ctx, record.Configuration) }()
@@ -282,6 +305,30 @@
 	}
 }
 
+// TestPollsAreFrequent guards against CONFIG: proofs of the configuration that are old in calm, as those of a watch are, so that nodes
+// can read the store themselves only late.
+func TestPollsAreFrequent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeStore{startedAt: time.Now(), at: 1, changes: []record.Record{{Kind: record.Configuration, Name: "main", Revision: 1}}, changed: make(chan struct{})}
+		f := &fakeCluster{store: s, reachable: true, peers: []elector.Candidate{{Address: "a", StoreReachable: true, Alive: true}}}
+		w := &Watcher{log: slog.New(slog.DiscardHandler), store: s, cluster: f, node: "m", provers: []prover{f}}
+		ctx, cancel := context.WithCancel(context.Background())
+		end := make(chan error, 1)
+		go func() { end <- w.watchKind(ctx, record.Configuration) }()
+		time.Sleep(10 * time.Second)
+		cancel()
+		<-end
+		for i := 1; i < len(f.reads); i++ {
+			if gap := f.reads[i] - f.reads[i-1]; gap > 700*time.Millisecond {
+				t.Errorf("%v between two proofs, the second at %v", gap, f.reads[i])
+			}
+		}
+		if n := len(s.trace); n > 10*1000/600+3 {
+			t.Errorf("%d calls in 10 s", n)
+		}
+	})
+}
+
 // withoutTimes drops the times and merges equal lines in a row, as the pauses after failures are partly random.
 func withoutTimes(trace []string) string {
 	var out []string
