persister, watcher: fewer calls to the store

Change: a node reads its withdrawals when an upstream that has started before it announces itself, before that is used, and creates its object without a read if none is known. The poll comes every 0.9 s, and where a node polls, the first watcher waits 4 s, as a poll finds what a watch misses. All orders of events of TestWithdrawalOutlivesAllNodes end as before.

--- a/mesh/enroller/recall.go
+++ b/mesh/enroller/recall.go
@@ -28,16 +28,26 @@
 	sequence    int64
 }
 
-// Confirm reports whether the announcement may be applied. In the first time after the start of this node, one of an unknown
-// instance that has started earlier needs another one of the same process before it, unless another node has vouched for that
-// process: it may have been sent before this node's start, and its sender may have left since, or have ended. An upstream that
-// is refused announces itself again at once.
-func (e *Enroller) Confirm(a Announcement) bool {
+// PredatesNode reports whether the announcement is of an unknown instance that has started before this node and may have been sent
+// before that, too. An earlier process of this node may have been told that it leaves.
+func (e *Enroller) PredatesNode(a Announcement) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
+	return e.predatesNode(a)
+}
+
+func (e *Enroller) predatesNode(a Announcement) bool {
 	_, known := e.instances[a.Instance]
-	vouched := e.vouched.instance == a.Instance && e.vouched.startMillis == a.StartMillis
-	if known || vouched || a.Leaving || a.StartMillis > e.startedAt.UnixMilli() || e.now().Sub(e.startedAt) > maxAnnouncementDelay {
+	return !known && !a.Leaving && a.StartMillis <= e.startedAt.UnixMilli() && e.now().Sub(e.startedAt) <= maxAnnouncementDelay
+}
+
+// Confirm reports whether the announcement may be applied. One that predates the node needs another one of the same process before
+// it, unless another node has vouched for that process: its sender may have left since, or have ended. An upstream that is
+// refused announces itself again at once.
+func (e *Enroller) Confirm(a Announcement) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.predatesNode(a) || e.vouched.instance == a.Instance && e.vouched.startMillis == a.StartMillis {
 		return true
 	}
 	u, seen := e.unconfirmed[a.Instance]
--- a/mesh/persister/persister.go
+++ b/mesh/persister/persister.go
@@ -76,6 +76,7 @@
 
 	// The fields below are owned by the goroutine.
 	loaded   bool
+	mayExist bool // the store may have an object, so that none can be created without a load
 	position uint64
 	era      uint64 // of the store at the last successful call
 	stored   []withdrawal.Withdrawal
@@ -117,7 +118,7 @@
 	}
 }
 
-// Persist returns when all withdrawals that the registry has are stored. If the store does not answer within maxWait, or ctx ends,
+// Persist returns when all withdrawals that the registry has are stored, and those that are stored are in the registry. If the store does not answer within maxWait, or ctx ends,
 // it returns an error, and they are stored later unless the process ends before.
 func (p *Persister) Persist(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
@@ -141,12 +142,12 @@
 	return fault.Wrap(fault.Unavailable, ctx.Err(), "withdrawals are not stored yet", "they are stored when the store answers")
 }
 
-// run loads what earlier processes have stored, and stores what is new.
+// run loads what earlier processes have stored once that is asked for, and stores what is new.
 func (p *Persister) run(ctx context.Context) error {
 	era := time.NewTicker(eraCheckInterval)
 	defer era.Stop()
 	retry := time.NewTimer(0)
-	defer retry.Stop()
+	retry.Stop()
 	var backoff time.Duration
 	for {
 		select {
@@ -181,12 +182,13 @@
 		// The restored store may lack what was stored, and positions of before are not valid.
 		p.loaded = false
 	}
-	if !p.loaded {
+	ws := p.registry.Withdrawals()
+	if !p.loaded && (len(ws) == 0 || p.mayExist) {
 		if err := p.load(ctx); err != nil {
 			return err
 		}
+		ws = p.registry.Withdrawals()
 	}
-	ws := p.registry.Withdrawals()
 	if slices.Equal(ws, p.stored) {
 		return nil
 	}
@@ -198,10 +200,10 @@
 	})
 	if err != nil {
 		// The object may have changed, also by this call if its answer was lost.
-		p.loaded = false
+		p.loaded, p.mayExist = false, true
 		return err
 	}
-	p.stored, p.position, p.era = ws, position, p.store.Era()
+	p.loaded, p.mayExist, p.stored, p.position, p.era = true, true, ws, position, p.store.Era()
 	p.log.Info("withdrawals stored", "count", len(ws))
 	return nil
 }
@@ -218,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	p.loaded, p.stored, p.position, p.era = true, ws, position, p.store.Era()
+	p.loaded, p.mayExist, p.stored, p.position, p.era = true, true, ws, position, p.store.Era()
 	p.registry.Recall(ws)
 	p.log.Info("withdrawals loaded", "count", len(ws))
 	return nil
--- a/mesh/persister/persister_test.go
+++ b/mesh/persister/persister_test.go
@@ -114,6 +114,9 @@
 		return nil
 	case "announce":
 		// The platform's adapter does the same.
+		if p.enroller.PredatesNode(a) {
+			p.persister.Persist(context.Background())
+		}
 		if p.enroller.Confirm(a) {
 			p.enroller.Announce(a)
 		}
--- a/mesh/revalidator/revalidator.go
+++ b/mesh/revalidator/revalidator.go
@@ -31,7 +31,7 @@
 	tickInterval = 100 * time.Millisecond
 	// pollInterval is the pause between two polls. With the ways of a proof it is well below the age at which nodes read the
 	// store themselves.
-	pollInterval = 600 * time.Millisecond
+	pollInterval = 900 * time.Millisecond
 	// forgetInterval is the interval at which nodes that are gone are forgotten.
 	forgetInterval = 30 * time.Second
 	// readTimeout bounds a read of the store; other nodes read it meanwhile.
--- a/mesh/revalidator/schedule.go
+++ b/mesh/revalidator/schedule.go
@@ -10,7 +10,7 @@
 	revokeScale = 0.5
 )
 
-// minApply is the lowest bound that nodes read for. In calm, proofs are up to 0.9 s old, and for a much lower bound nodes would
+// minApply is the lowest bound that nodes read for. In calm, proofs are up to 1.1 s old, and for a much lower bound nodes would
 // read whenever one was late.
 const minApply = 2500 * time.Millisecond
 
--- a/mesh/watcher/watcher.go
+++ b/mesh/watcher/watcher.go
@@ -28,7 +28,7 @@
 	// ends, because its connection is dead or the store has dropped its history, and a configuration must be in force
 	// within about 2.5 s.
 	shortWatchWait = 1200 * time.Millisecond
-	// longWatchWait is the wait for orders and of the last spare watcher, which may notice changes later.
+	// longWatchWait is the wait for orders, of the last spare watcher, which may notice changes later, and where a node polls.
 	longWatchWait = 4 * time.Second
 	// callTimeout bounds a call that does not wait for a change.
 	callTimeout = 1500 * time.Millisecond
@@ -199,13 +199,13 @@
 			watching = true
 			w.log.Info("watch begins", "kind", kind, "place", rank)
 		}
-		pollInterval := time.Duration(0)
-		if kind == record.Configuration && rank == pollingRank {
-			pollInterval = w.pollInterval()
-		}
-		wait := watchWaits[kind][rank]
-		if pollInterval > 0 {
-			wait = 0
+		pollInterval, wait := time.Duration(0), watchWaits[kind][rank]
+		if interval := w.pollInterval(); kind == record.Configuration && interval > 0 {
+			// A poll finds what a watch misses.
+			wait = longWatchWait
+			if rank == pollingRank {
+				pollInterval, wait = interval, 0
+			}
 		}
 		changed, err := w.fetchChanges(ctx, kind, wait, &at)
 		var delay time.Duration
--- a/mesh/watcher/watcher_test.go
+++ b/mesh/watcher/watcher_test.go
@@ -210,7 +210,7 @@
 
 func (f *fakeCluster) YieldWatch() {}
 
-func (f *fakeCluster) PollInterval() time.Duration { return 600 * time.Millisecond }
+func (f *fakeCluster) PollInterval() time.Duration { return 600 * time.Millisecond } // of the test
 
 func (f *fakeCluster) Nodes() []elector.Candidate {
 	f.mutex.Lock()
@@ -285,7 +285,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := &fakeStore{startedAt: time.Now(), at: 1, changes: []record.Record{{Kind: record.Configuration, Name: "main", Revision: 1}}, changed: make(chan struct{})}
 				f := &fakeCluster{store: s}
-				w := &Watcher{log: slog.New(slog.DiscardHandler), store: s, cluster: f, node: "m", provers: []prover{f}}
+				w := &Watcher{log: slog.New(slog.DiscardHandler), store: s, cluster: f, node: "m"}
+				if c.name == "polled" {
+					w.provers = []prover{f}
+				}
 				ctx, cancel := context.WithCancel(context.Background())
 				end := make(chan error, 1)
 				go func() { end <- w.watchKind(ctx, record.Configuration) }()
