--- a/mesh/persister/persister_test.go
+++ b/mesh/persister/persister_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,7 @@
 
 // fakeStore holds the object of one node and fails as its mode says.
 type fakeStore struct {
+	mutex    sync.Mutex
 	mode     string // out: refuses; silent: does not answer; lost: writes and does not answer; empty: answers after 4 ms
 	position uint64
 	ws       []withdrawal.Withdrawal
@@ -28,13 +30,20 @@
 	calls    int
 }
 
-func (f *fakeStore) Era() uint64 { return f.era }
+func (f *fakeStore) Era() uint64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.era
+}
 
 // answer waits for the answer to a call and returns its error.
 func (f *fakeStore) answer(ctx context.Context) error {
+	f.mutex.Lock()
 	f.calls++
+	mode := f.mode
+	f.mutex.Unlock()
 	unavailable := fault.New(fault.Unavailable, "the store does not answer", "")
-	switch f.mode {
+	switch mode {
 	case "out":
 		return unavailable
 	case "silent", "lost":
@@ -49,16 +58,22 @@
 	if err := f.answer(ctx); err != nil {
 		return nil, 0, err
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	return slices.Clone(f.ws), f.position, nil
 }
 
 func (f *fakeStore) StoreWithdrawals(ctx context.Context, _ string, ws []withdrawal.Withdrawal, position uint64) (uint64, error) {
+	f.mutex.Lock()
 	if f.mode == "lost" && position == f.position {
 		f.ws, f.position = ws, f.position+1
 	}
+	f.mutex.Unlock()
 	if err := f.answer(ctx); err != nil {
 		return 0, err
 	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	if position != f.position {
 		return 0, fault.New(fault.Conflict, "the object has changed", "")
 	}
@@ -130,6 +145,8 @@
 	case "told":
 		p.enroller.Withdraw("a", s.Start)
 	case "store":
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
 		if store.mode = s.Mode; s.Mode == "restored" {
 			store.mode, store.ws, store.position, store.era = "", nil, 0, store.era+1
 		}
@@ -174,7 +191,9 @@
 						state = fmt.Sprintf("%s since %d", u.State(), u.Announcement().StartMillis)
 					}
 				}
+				store.mutex.Lock()
 				fmt.Fprintf(&out, "  %-8s %5d %d %-8s -> %-20s after %v, calls %d, stored %d\n", s.Do, s.Start, s.Sequence, s.Mode, state, took, store.calls, len(store.ws))
+				store.mutex.Unlock()
 			}
 			if p != nil {
 				p.kill()
